A thin whole path: callers, daemons, backend servers and the platform

Cause: the repository was empty.

Change: the decision packages (pool, detect, admit, retry, escrow, poison, once, member, config, shard) and the I/O around them (backend, dispatch, router, peer over drpc, gossip, versions, permits, front, admin, daemon), the operators' command, and a stand-in for the platform, servers and callers.

--- /dev/null
+++ b/cmd/bilberrymux/main.go
@@ -0,0 +1,107 @@
+// Command bilberrymux is the daemon of the proxy fleet and the command of its
+// operators.
+//
+// Exit codes: 0 for success, 1 for a failure, 2 for bad usage or a refused
+// configuration or settings file, 3 for a stale patch, 4 for an outcome that
+// is not known.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"bilberrymux/io/daemon"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitStale   = 3
+	exitUnknown = 4
+)
+
+// exitError carries the exit code of a failure.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+// command is one subcommand.
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func commands() []command {
+	return []command{
+		{"serve", "Run the daemon", serveHelp, &serveCommand{}},
+		{"check", "Check a settings or configuration file", checkHelp, &checkCommand{}},
+		{"locate", "Ask a daemon where callers should connect", locateHelp, &locateCommand{}},
+		{"show", "Show the state of a daemon", showHelp, &showCommand{}},
+		{"patch", "Submit a patch of the shared configuration", patchHelp, &patchCommand{}},
+		{"history", "List the versions of the shared configuration", historyHelp, &historyCommand{}},
+		{"diff", "Show what changed between two versions", diffHelp, &diffCommand{}},
+		{"rollback", "Put an older version in force as a new one", rollbackHelp, &rollbackCommand{}},
+		{"release", "Lift the quarantine of a request", releaseHelp, &releaseCommand{}},
+		{"drain", "Ask a daemon for a planned stop", drainHelp, &drainCommand{}},
+		{"version", "Print the version of the program", "", &versionCommand{}},
+	}
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parser := flags.NewNamedParser("bilberrymux", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "A proxy fleet for backend servers that fail gray."
+	for _, c := range commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var flagError *flags.Error
+	if errors.As(err, &flagError) {
+		if flagError.Type == flags.ErrHelp {
+			fmt.Println(err)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "bilberrymux:", err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return exitFailed
+}
+
+// versionCommand prints the version.
+type versionCommand struct{}
+
+// Execute implements flags.Commander.
+func (*versionCommand) Execute([]string) error {
+	fmt.Println("bilberrymux", daemon.Build)
+	return nil
+}
--- /dev/null
+++ b/core/escrow/purse.go
@@ -0,0 +1,73 @@
+package escrow
+
+import "sync"
+
+// Purse is one daemon's hold on the permits of one service, shared by the
+// shards of that service that it owns. It is safe for concurrent use.
+type Purse struct {
+	mu    sync.Mutex
+	hold  Hold
+	total int
+	used  int
+}
+
+// NewPurse returns a purse without permits.
+func NewPurse() *Purse {
+	return &Purse{}
+}
+
+// SetHold records what the table service granted.
+func (p *Purse) SetHold(h Hold) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hold = h
+}
+
+// SetTotal records the escrow of the service in the configuration in force.
+func (p *Purse) SetTotal(total int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.total = total
+}
+
+// Take uses permits for the given slots. It reports false, and takes nothing,
+// where the hold does not cover them.
+func (p *Purse) Take(slots int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.used+slots > p.hold.Effective(p.total) {
+		return false
+	}
+	p.used += slots
+	return true
+}
+
+// Force uses permits for capacity that went away without an ejection, such as
+// a server that drains on its own. Excess then tells what to give up for it.
+func (p *Purse) Force(slots int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used += slots
+}
+
+// Return gives back permits that Take used.
+func (p *Purse) Return(slots int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used = max(0, p.used-slots)
+}
+
+// Excess returns how many used slots lie above what the hold still covers
+// after the escrow shrank.
+func (p *Purse) Excess() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, p.used-p.hold.Effective(p.total))
+}
+
+// State returns the slots in use and the slots that may be used.
+func (p *Purse) State() (used, allowed int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used, p.hold.Effective(p.total)
+}
--- /dev/null
+++ b/io/admin/admin.go
@@ -0,0 +1,220 @@
+// Package admin serves operators: state, metrics and changes of the shared
+// configuration. It listens apart from callers and wants a key.
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"bilberrymux/core/config"
+	"bilberrymux/core/ident"
+	"bilberrymux/core/member"
+	"bilberrymux/core/poison"
+	"bilberrymux/core/shard"
+	"bilberrymux/io/versions"
+)
+
+// Paths of the administration listener. Health and readiness need no key.
+const (
+	PathHealth   = "/healthz"
+	PathReady    = "/readyz"
+	PathMetrics  = "/metrics"
+	PathCounters = "/v1/metrics"
+	PathStatus   = "/v1/status"
+	PathShards   = "/v1/shards"
+	PathMembers  = "/v1/members"
+	PathEvents   = "/v1/events"
+	PathConfig   = "/v1/config"
+	PathHistory  = "/v1/config/history"
+	PathDiff     = "/v1/config/diff"
+	PathPatch    = "/v1/config/patch"
+	PathCheck    = "/v1/config/check"
+	PathRollback = "/v1/config/rollback"
+	PathPoison   = "/v1/poison"
+	PathRelease  = "/v1/poison/release"
+	PathDrain    = "/v1/drain"
+)
+
+// changeTimeout bounds a change of the configuration.
+const changeTimeout = 20 * time.Second
+
+// Event is a change of a server's state with its place.
+type Event struct {
+	Service ident.ServiceID `json:"service"`
+	Region  ident.RegionID  `json:"region"`
+	shard.Event
+}
+
+// Status is the state of one daemon at a glance.
+type Status struct {
+	VM          ident.VMID        `json:"vm"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Region      ident.RegionID    `json:"region"`
+	Zone        ident.ZoneID      `json:"zone"`
+	State       member.State      `json:"state"`
+	Version     ident.Version     `json:"version"`
+	Build       string            `json:"build"`
+	Started     time.Time         `json:"started"`
+	Live        int               `json:"liveDaemons"`
+	InFlight    int64             `json:"inFlight"`
+	Keys        int               `json:"rememberedKeys"`
+}
+
+// Options are the dependencies of an Admin.
+type Options struct {
+	Key         string
+	Registry    metrics.Registry
+	Versions    *versions.Keeper
+	Members     func() *member.View
+	Status      func() Status
+	Shards      func() []shard.View
+	Events      func() []Event
+	Poison      *poison.List
+	SpreadEntry func(poison.Entry)
+	Ready       func() error
+	// Drain asks for a planned stop.
+	Drain func()
+}
+
+// Admin is the operators' listener.
+type Admin struct {
+	options Options
+	app     *fiber.App
+}
+
+// New returns a listener that serves nothing before Serve.
+func New(o Options) *Admin {
+	a := &Admin{options: o}
+	a.app = fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: maxPatch, ErrorHandler: failed})
+	a.app.Get(PathHealth, func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	a.app.Get(PathReady, a.ready)
+	a.app.Use(a.authorize)
+	a.app.Get(PathMetrics, a.prometheus)
+	a.app.Get(PathCounters, func(c *fiber.Ctx) error { return c.JSON(o.Registry.GetAll()) })
+	a.app.Get(PathStatus, func(c *fiber.Ctx) error { return c.JSON(o.Status()) })
+	a.app.Get(PathShards, func(c *fiber.Ctx) error { return c.JSON(o.Shards()) })
+	a.app.Get(PathMembers, func(c *fiber.Ctx) error { return c.JSON(o.Members().Entries) })
+	a.app.Get(PathEvents, func(c *fiber.Ctx) error { return c.JSON(o.Events()) })
+	a.app.Get(PathPoison, func(c *fiber.Ctx) error { return c.JSON(poisonViews(o.Poison.Entries(time.Now()))) })
+	a.app.Post(PathRelease, a.release)
+	a.app.Post(PathDrain, a.drain)
+	a.configRoutes()
+	return a
+}
+
+// maxPatch bounds a patch in bytes.
+const maxPatch = 64 << 20
+
+// Serve answers on the listener until Stop.
+func (a *Admin) Serve(l net.Listener) error {
+	return a.app.Listener(l)
+}
+
+// stopTimeout bounds the end of requests of operators.
+const stopTimeout = time.Second
+
+// Stop ends Serve.
+func (a *Admin) Stop() error {
+	return a.app.ShutdownWithTimeout(stopTimeout)
+}
+
+// Problem is the body of an error.
+type Problem struct {
+	Error    string           `json:"error"`
+	Problems []config.Problem `json:"problems,omitempty"`
+	// Current is the version in force, where a patch was stale.
+	Current ident.Version `json:"current,omitempty"`
+}
+
+func failed(c *fiber.Ctx, err error) error {
+	status := fiber.StatusInternalServerError
+	p := Problem{Error: err.Error()}
+	var fe *fiber.Error
+	var stale *versions.StaleError
+	var invalid *config.InvalidError
+	switch {
+	case errors.As(err, &fe):
+		status = fe.Code
+	case errors.As(err, &stale):
+		status, p.Current = fiber.StatusConflict, stale.Current
+	case errors.As(err, &invalid):
+		status, p.Problems = fiber.StatusUnprocessableEntity, invalid.Problems
+	case errors.Is(err, versions.ErrOutcomeUnknown):
+		status = fiber.StatusGatewayTimeout
+	}
+	return c.Status(status).JSON(p)
+}
+
+// authorize lets requests with the key pass. The comparison takes the same time
+// wherever the keys differ.
+func (a *Admin) authorize(c *fiber.Ctx) error {
+	key, _ := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if subtle.ConstantTimeCompare([]byte(key), []byte(a.options.Key)) != 1 {
+		return fiber.NewError(fiber.StatusUnauthorized, "the administration key is missing or wrong")
+	}
+	return c.Next()
+}
+
+func (a *Admin) ready(c *fiber.Ctx) error {
+	if err := a.options.Ready(); err != nil {
+		return fiber.NewError(fiber.StatusServiceUnavailable, err.Error())
+	}
+	return c.SendString("ready\n")
+}
+
+func (a *Admin) drain(c *fiber.Ctx) error {
+	a.options.Drain()
+	return c.Status(fiber.StatusAccepted).JSON(a.options.Status())
+}
+
+// PoisonView is one quarantined request as operators see it.
+type PoisonView struct {
+	poison.Entry
+	// Hex is the fingerprint as it is typed to release it.
+	Hex string `json:"hex"`
+}
+
+func poisonViews(entries []poison.Entry) []PoisonView {
+	out := make([]PoisonView, len(entries))
+	for i, e := range entries {
+		out[i] = PoisonView{e, fmt.Sprintf("%016x", uint64(e.Fingerprint))}
+	}
+	return out
+}
+
+// ReleaseRequest lifts a quarantine.
+type ReleaseRequest struct {
+	Service ident.ServiceID `json:"service"`
+	Hex     string          `json:"hex"`
+}
+
+func (a *Admin) release(c *fiber.Ctx) error {
+	var req ReleaseRequest
+	if err := json.Unmarshal(c.Body(), &req); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	fingerprint, err := strconv.ParseUint(req.Hex, 16, 64)
+	if err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, "hex must be 16 hexadecimal digits")
+	}
+	e, ok := a.options.Poison.Release(req.Service, ident.Fingerprint(fingerprint))
+	if !ok {
+		return fiber.NewError(fiber.StatusNotFound, "no such quarantine")
+	}
+	a.options.SpreadEntry(e)
+	return c.JSON(e)
+}
+
+func changeContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), changeTimeout)
+}
--- /dev/null
+++ b/io/backend/conn.go
@@ -0,0 +1,150 @@
+// Package backend exchanges HTTP requests with backend servers. Unlike a
+// general HTTP client it never repeats an exchange by itself, and it reports
+// for each failure whether the server can have run the request.
+package backend
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The keeping of idle connections.
+const (
+	// idleLimit is how long an idle connection is kept.
+	idleLimit = 15 * time.Second
+	// safeIdle is how long a connection may have been idle to carry a request
+	// that must not be repeated.
+	safeIdle = time.Second
+	// maxIdle bounds the idle connections to one server.
+	maxIdle = 64
+	// bufferSize is the size of each connection's read and write buffers.
+	bufferSize = 8 << 10
+)
+
+// serverConn is one connection to a server.
+type serverConn struct {
+	net.Conn
+	br         *bufio.Reader
+	bw         *bufio.Writer
+	idleSince  time.Time
+	generation uint64
+	used       bool
+}
+
+// idleSet is the idle connections to one address, the latest used last.
+type idleSet struct {
+	mu         sync.Mutex
+	conns      []*serverConn
+	generation uint64
+	// closed is told of each connection that the set closes.
+	closed func()
+}
+
+func (s *idleSet) shut(c *serverConn) {
+	c.Close()
+	s.closed()
+}
+
+// take returns an idle connection that looks alive, or nil.
+func (s *idleSet) take(now time.Time, limit time.Duration) *serverConn {
+	for {
+		c := s.pop()
+		if c == nil {
+			return nil
+		}
+		if now.Sub(c.idleSince) <= limit && c.alive() {
+			return c
+		}
+		s.shut(c)
+	}
+}
+
+func (s *idleSet) pop() *serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := len(s.conns) - 1
+	if last < 0 {
+		return nil
+	}
+	c := s.conns[last]
+	s.conns[last] = nil
+	s.conns = s.conns[:last]
+	return c
+}
+
+// put keeps a connection for later, unless it belongs to a generation that was
+// given up or there are enough.
+func (s *idleSet) put(now time.Time, c *serverConn) {
+	c.idleSince, c.used = now, true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.generation != s.generation || len(s.conns) >= maxIdle {
+		s.shut(c)
+		return
+	}
+	s.conns = append(s.conns, c)
+}
+
+// giveUp closes all idle connections and keeps those in use from coming back.
+func (s *idleSet) giveUp() {
+	s.mu.Lock()
+	conns := s.conns
+	s.conns = nil
+	s.generation++
+	s.mu.Unlock()
+	for _, c := range conns {
+		s.shut(c)
+	}
+}
+
+// expire closes connections that were idle for too long.
+func (s *idleSet) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.conns[:0]
+	for _, c := range s.conns {
+		if now.Sub(c.idleSince) > idleLimit {
+			s.shut(c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	s.conns = kept
+}
+
+// alive reports whether an idle connection is still open and silent. Bytes that
+// nobody asked for make it unusable, as they would become the answer to the
+// next request.
+func (c *serverConn) alive() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// watch closes the connection when the context ends, so that an exchange never
+// outlives its deadline and a cancelled request is cancelled at the server.
+func (c *serverConn) watch(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { c.Close() })
+}
--- /dev/null
+++ b/io/permits/permits.go
@@ -0,0 +1,283 @@
+// Package permits keeps this daemon's ejection permits: it takes and returns
+// them by conditional writes in the table service, ahead of need.
+package permits
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"bilberrymux/core/config"
+	"bilberrymux/core/escrow"
+	"bilberrymux/core/ident"
+	"bilberrymux/core/store"
+)
+
+// rowPrefix starts the key of a service's escrow row.
+const rowPrefix = "escrow/"
+
+// The keeping of permits.
+const (
+	// period is how often holds are brought in line with the need.
+	period = 5 * time.Second
+	// callTimeout bounds one exchange with the store.
+	callTimeout = 2 * time.Second
+	// maxTries bounds the tries of one change of a row that others change too.
+	maxTries = 5
+)
+
+// Options are the dependencies of a Keeper.
+type Options struct {
+	Self  ident.Incarnation
+	VM    ident.VMID
+	Store *store.Store
+	// Gone reports whether the platform's list says that a VM is gone.
+	Gone func(ident.VMID) bool
+	// Count adds one to the counter of that name.
+	Count func(name string)
+}
+
+// need is what the daemon wants to hold for one service.
+type need struct {
+	purse *escrow.Purse
+	// want is the slots to hold, total the escrow of the service.
+	want, total int
+	held        escrow.Hold
+}
+
+// Keeper is safe for concurrent use.
+type Keeper struct {
+	options Options
+
+	mu    sync.Mutex
+	needs map[ident.ServiceID]*need
+	wake  chan struct{}
+}
+
+// New returns a keeper that holds nothing.
+func New(o Options) *Keeper {
+	if o.Count == nil {
+		o.Count = func(string) {}
+	}
+	return &Keeper{options: o, needs: map[ident.ServiceID]*need{}, wake: make(chan struct{}, 1)}
+}
+
+// Purse returns the purse of a service.
+func (k *Keeper) Purse(service ident.ServiceID) *escrow.Purse {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.need(service).purse
+}
+
+func (k *Keeper) need(service ident.ServiceID) *need {
+	n := k.needs[service]
+	if n == nil {
+		n = &need{purse: escrow.NewPurse()}
+		k.needs[service] = n
+	}
+	return n
+}
+
+// Want says which slots of a service this daemon owns; zero for none. The
+// escrow of the service comes from its configuration.
+func (k *Keeper) Want(service ident.ServiceID, s *config.Service, ownedSlots int) {
+	k.mu.Lock()
+	n := k.need(service)
+	n.total, n.want = 0, 0
+	if s != nil {
+		n.total = max(0, s.Capacity()-s.FloorSlots)
+		n.want = share(n.total, ownedSlots, s)
+	}
+	n.purse.SetTotal(n.total)
+	k.mu.Unlock()
+	k.poke()
+}
+
+// share is the part of the escrow that goes with a part of the capacity, and
+// at least what its largest server needs.
+func share(total, ownedSlots int, s *config.Service) int {
+	capacity := s.Capacity()
+	if ownedSlots == 0 || capacity == 0 {
+		return 0
+	}
+	largest := 0
+	for _, srv := range s.Servers {
+		largest = max(largest, srv.Slots)
+	}
+	return min(total, max((total*ownedSlots+capacity-1)/capacity, largest))
+}
+
+func (k *Keeper) poke() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Start keeps the holds in line until the context ends.
+func (k *Keeper) Start(ctx context.Context, wg *conc.WaitGroup) {
+	wg.Go(func() {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			case <-k.wake:
+			}
+			k.Settle(ctx)
+		}
+	})
+}
+
+// Settle brings every hold in line with its need, where the store answers.
+func (k *Keeper) Settle(ctx context.Context) {
+	for _, service := range k.unsettled() {
+		if err := k.settleOne(ctx, service); err != nil {
+			k.options.Count("permits.failed")
+		}
+	}
+}
+
+// unsettled returns the services whose hold is not what is needed.
+func (k *Keeper) unsettled() []ident.ServiceID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []ident.ServiceID
+	for service, n := range k.needs {
+		if n.held.Slots != n.want || (n.want > 0 && n.held.Total != n.total) {
+			out = append(out, service)
+		}
+	}
+	return out
+}
+
+func (k *Keeper) settleOne(ctx context.Context, service ident.ServiceID) error {
+	k.mu.Lock()
+	n := *k.needs[service]
+	k.mu.Unlock()
+	used, _ := n.purse.State()
+	if n.want < used {
+		// What is in use can't be given back yet.
+		n.want = used
+	}
+	hold, err := k.change(ctx, service, func(r escrow.Row) (escrow.Row, escrow.Hold) {
+		return r.Grant(k.options.Self, k.options.VM, n.want, used, n.total)
+	}, n.purse)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.needs[service].held = hold
+	k.mu.Unlock()
+	return nil
+}
+
+// change rewrites the row of a service. A smaller hold is put in force here
+// before the write, a larger one after it, so that a lost reply never leaves
+// this daemon with more than the row says.
+func (k *Keeper) change(ctx context.Context, service ident.ServiceID, edit func(escrow.Row) (escrow.Row, escrow.Hold), purse *escrow.Purse) (escrow.Hold, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := rowPrefix + string(service)
+	for range maxTries {
+		row, revision, err := k.read(ctx, key)
+		if err != nil {
+			return escrow.Hold{}, err
+		}
+		old := row.Holds[k.options.Self]
+		next, hold := edit(k.reclaim(row))
+		purse.SetHold(smaller(old, hold))
+		err = k.write(ctx, key, next, revision)
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			k.options.Count("permits.conflict")
+			continue
+		}
+		if err != nil {
+			return escrow.Hold{}, err
+		}
+		purse.SetHold(hold)
+		k.options.Count("permits.changed")
+		return hold, nil
+	}
+	return escrow.Hold{}, fmt.Errorf("permits: row %s: too many conflicts", key)
+}
+
+// smaller returns a hold that is covered by both.
+func smaller(a, b escrow.Hold) escrow.Hold {
+	if a.Total == b.Total {
+		a.Slots = min(a.Slots, b.Slots)
+		return a
+	}
+	least := min(a.Effective(b.Total), b.Slots)
+	return escrow.Hold{VM: b.VM, Slots: min(a.Slots, least), Total: max(a.Total, b.Total)}
+}
+
+// reclaim drops the holds of daemons that are gone: their VM is off the
+// platform's list, or an earlier process of this VM held them. That process has
+// ended, or this one could not listen on its address.
+func (k *Keeper) reclaim(r escrow.Row) escrow.Row {
+	for inc, h := range r.Holds {
+		if h.VM == k.options.VM && inc != k.options.Self {
+			r = r.Release(inc)
+		}
+	}
+	next, changed := r.Reclaim(k.options.Gone)
+	if changed {
+		k.options.Count("permits.reclaimed")
+	}
+	return next
+}
+
+func (k *Keeper) read(ctx context.Context, key string) (escrow.Row, store.Revision, error) {
+	row, ok, err := k.options.Store.Read(ctx, key)
+	if err != nil || !ok {
+		return escrow.Row{}, 0, err
+	}
+	var r escrow.Row
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return escrow.Row{}, 0, fmt.Errorf("permits: row %s: %w", key, err)
+	}
+	return r, row.Revision, nil
+}
+
+func (k *Keeper) write(ctx context.Context, key string, r escrow.Row, revision store.Revision) error {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("permits: %w", err)
+	}
+	w := store.Write{Key: key, Value: value, Expect: store.AtRevision, Revision: revision}
+	if revision == 0 {
+		w.Expect = store.Absent
+	}
+	_, err = k.options.Store.Transact(ctx, []store.Write{w})
+	return err
+}
+
+// Release gives back every hold, as part of a planned stop.
+func (k *Keeper) Release(ctx context.Context) {
+	k.mu.Lock()
+	held := map[ident.ServiceID]*escrow.Purse{}
+	for service, n := range k.needs {
+		if n.held.Slots > 0 {
+			held[service] = n.purse
+		}
+	}
+	k.mu.Unlock()
+	for service, purse := range held {
+		purse.SetHold(escrow.Hold{})
+		_, err := k.change(ctx, service, func(r escrow.Row) (escrow.Row, escrow.Hold) {
+			return r.Release(k.options.Self), escrow.Hold{}
+		}, purse)
+		if err != nil {
+			k.options.Count("permits.releaseFailed")
+		}
+	}
+}
--- /dev/null
+++ b/io/router/call.go
@@ -0,0 +1,131 @@
+// Package router brings each request to the daemon and the servers that are to
+// run it: to the owner of its shard, to the decider of its key, or to another
+// region.
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"bilberrymux/core/ident"
+	"bilberrymux/core/once"
+	"bilberrymux/core/refusal"
+	"bilberrymux/io/backend"
+)
+
+// Call is one caller's request on its way through the fleet.
+type Call struct {
+	ID           string
+	Service      ident.ServiceID
+	Rank         ident.Rank
+	Organisation ident.OrganisationID
+	Deadline     time.Time
+	Idempotent   bool
+	// Key is the idempotency key of a request that must not be repeated, or nil.
+	Key         *once.Key
+	Fingerprint ident.Fingerprint
+	// Kind groups requests whose latencies compare.
+	Kind uint8
+	// Hops counts the forwards so far.
+	Hops int
+	// HTTP is the request as it goes to the server.
+	HTTP *fasthttp.Request
+}
+
+// Reply is the end of a call: an answer or a refusal.
+type Reply struct {
+	Answer  *backend.Answer
+	Refused *refusal.Error
+	// Owner is the caller address of the daemon that ran the request, where it
+	// was another one.
+	Owner string
+	// Replayed says that the answer is an earlier run's.
+	Replayed bool
+}
+
+func refuse(kind refusal.Kind, format string, args ...any) Reply {
+	return Reply{Refused: refusal.New(kind, format, args...)}
+}
+
+// FingerprintOf hashes what makes two requests the same work.
+func FingerprintOf(req *fasthttp.Request) ident.Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(req.Header.Method())
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(req.Header.RequestURI())
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(req.Body())
+	return ident.Fingerprint(d.Sum64())
+}
+
+// KindOf returns the group of requests whose latencies compare, by route.
+func KindOf(prefix string) uint8 {
+	return uint8(xxhash.Sum64String(prefix))
+}
+
+// maxKeptAnswer bounds in bytes the answer of a request with a key, which is
+// held in memory for resends.
+const maxKeptAnswer = 8 << 20
+
+// encodeAnswer reads an answer whole and writes it as HTTP/1.1.
+func encodeAnswer(a *backend.Answer) ([]byte, *refusal.Error) {
+	if a.Streamed {
+		body, err := io.ReadAll(io.LimitReader(a.Response.BodyStream(), maxKeptAnswer+1))
+		_ = a.Response.CloseBodyStream()
+		if err != nil {
+			return nil, refusal.New(refusal.ServerFailed, "%v", err)
+		}
+		if len(body) > maxKeptAnswer {
+			return nil, refusal.New(refusal.AnswerTooLarge, "above %d bytes", maxKeptAnswer)
+		}
+		a.Response.SetBodyRaw(body)
+	}
+	var out bytes.Buffer
+	w := bufio.NewWriter(&out)
+	if err := a.Response.Write(w); err != nil {
+		return nil, refusal.New(refusal.Internal, "%v", err)
+	}
+	if err := w.Flush(); err != nil {
+		return nil, refusal.New(refusal.Internal, "%v", err)
+	}
+	return out.Bytes(), nil
+}
+
+// decodeAnswer reads an answer that encodeAnswer wrote.
+func decodeAnswer(raw []byte) (*backend.Answer, error) {
+	resp := &fasthttp.Response{}
+	if err := resp.Read(bufio.NewReader(bytes.NewReader(raw))); err != nil {
+		return nil, fmt.Errorf("router: kept answer: %w", err)
+	}
+	return &backend.Answer{Response: resp}, nil
+}
+
+// encodeRequest writes a request as HTTP/1.1.
+func encodeRequest(req *fasthttp.Request) ([]byte, error) {
+	var out bytes.Buffer
+	w := bufio.NewWriter(&out)
+	if err := req.Write(w); err != nil {
+		return nil, fmt.Errorf("router: %w", err)
+	}
+	if err := w.Flush(); err != nil {
+		return nil, fmt.Errorf("router: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// decodeRequest reads a request that encodeRequest wrote.
+func decodeRequest(raw []byte) (*fasthttp.Request, error) {
+	req := &fasthttp.Request{}
+	req.Header.DisableNormalizing()
+	if err := req.Read(bufio.NewReader(bytes.NewReader(raw))); err != nil {
+		return nil, fmt.Errorf("router: forwarded request: %w", err)
+	}
+	return req, nil
+}
