--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -60,6 +60,9 @@
 	// Suspect says that the attempt is late on a connection that may have gone
 	// silent, and no longer keeps a slot.
 	Suspect bool
+	// Sent is set by the sender once the attempt has a connection. Until then
+	// nothing is known of the server's speed.
+	Sent atomic.Bool
 	// Reused is set by the sender once the attempt runs on a connection that
 	// served an exchange before.
 	Reused atomic.Bool
@@ -92,6 +95,8 @@
 	Hold [ident.RankCount]time.Duration
 	// Waiting counts the tickets in the queue, by rank.
 	Waiting [ident.RankCount]int
+	// Demand is the mean number of slots that a rank uses or waits for.
+	Demand [ident.RankCount]float64
 	// Oldest is when the ticket at the head of each rank arrived.
 	Oldest [ident.RankCount]time.Time
 }
--- a/core/admit/policy.go
+++ b/core/admit/policy.go
@@ -64,12 +64,23 @@
 	long := 0.0
 	for i := range rank {
 		if l.Hold[i] > 0 && l.Hold[rank] > longHold*l.Hold[i] {
-			long += max(0, r.guaranteed(l, i)-float64(l.Busy[i]))
+			long += max(0, r.needed(l, i)-float64(l.Busy[i]))
 		}
 	}
 	return max(kept, math.Ceil(long))
 }
 
+// demandDeviations is how many standard deviations above its mean demand a more
+// urgent rank finds slots kept free from long, less urgent work.
+const demandDeviations = 2
+
+// needed returns the slots that a rank may come to use soon: its mean demand
+// and some deviations of a Poisson variable, within its guarantee.
+func (r *rankShares) needed(l *Load, rank int) float64 {
+	demand := l.Demand[rank]
+	return min(r.guaranteed(l, rank), 1+demand+demandDeviations*math.Sqrt(demand))
+}
+
 // estimate divides the tickets ahead by the slots that the rank can count on:
 // its guarantee, or what more urgent ranks leave, if that is more.
 func (r *rankShares) estimate(l *Load, rank int) time.Duration {
--- a/core/escrow/purse.go
+++ b/core/escrow/purse.go
@@ -9,6 +9,8 @@
 	hold  Hold
 	total int
 	used  int
+	// denied is the most slots that a refused Take lacked.
+	denied int
 }
 
 // NewPurse returns a purse without permits.
@@ -36,12 +38,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.used+slots > p.hold.Effective(p.total) {
+		p.denied = max(p.denied, p.used+slots-p.hold.Effective(p.total))
 		return false
 	}
 	p.used += slots
 	return true
 }
 
+// Denied returns how many more slots the hold would have needed for the
+// largest refused Take since ClearDenied.
+func (p *Purse) Denied() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.denied
+}
+
+// ClearDenied forgets refused Takes.
+func (p *Purse) ClearDenied() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.denied = 0
+}
+
 // Force uses permits for capacity that went away without an ejection, such as
 // a server that drains on its own. Excess then tells what to give up for it.
 func (p *Purse) Force(slots int) {
--- a/core/shard/finish.go
+++ b/core/shard/finish.go
@@ -37,6 +37,9 @@
 	// Drain is the server's word that it did not run the request because it
 	// stops.
 	Drain End = "drain"
+	// Outrun is an attempt that was cancelled because a hedge beside it answered
+	// first.
+	Outrun End = "outrun"
 	// Cancelled is an attempt that the caller or a faster hedge made useless.
 	Cancelled End = "cancelled"
 )
@@ -93,6 +96,8 @@
 		s.drain(now, m, true)
 	case StaleConnection:
 		m.broken = append(m.broken, brokenExchange{a.Ticket.Fingerprint, now})
+	case Outrun:
+		s.learnOutrun(now, m, a)
 	case SilentConnection, Cancelled:
 	}
 	if end != Shed {
@@ -117,6 +122,17 @@
 	}
 }
 
+// learnOutrun counts an attempt whose hedge won. It had already taken longer
+// than the high quantile, which a sound server's attempts rarely do.
+func (s *Shard) learnOutrun(now time.Time, m *member, a *admit.Attempt) {
+	q := s.kinds[a.Ticket.Kind%kindCount]
+	if a.Depth > 0 || a.Reused.Load() || !a.Sent.Load() || now.Sub(a.Started) < q.High() {
+		return
+	}
+	m.slows.Add(true)
+	s.observe(now, m, detect.Observation{Class: detect.Slow, Cold: now.Before(m.coldUntil)})
+}
+
 // learnLate counts an attempt that never answered, unless its deadline was so
 // short that a sound server could have missed it.
 func (s *Shard) learnLate(now time.Time, m *member, a *admit.Attempt) {
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -30,17 +30,30 @@
 			SlowRate:    s.medianOfPeers(m, (*member).slowRate),
 		}
 	}
+	s.meterDemand()
 	s.settleFloor(now)
 	s.pump(now)
 }
 
+// demandWeight is the weight of one tick in the mean demand of a rank.
+const demandWeight = 0.02
+
+// meterDemand follows the slots that each rank uses or waits for.
+func (s *Shard) meterDemand() {
+	waiting := s.queue.Waiting()
+	for i := range s.load.Demand {
+		now := float64(s.load.Busy[i] + waiting[i])
+		s.load.Demand[i] += demandWeight * (now - s.load.Demand[i])
+	}
+}
+
 // lateAttempts counts an attempt in flight each time that its age passes
 // another doubling of the slow limit. A server that hangs is found so before
 // any deadline passes.
 func (s *Shard) lateAttempts(now time.Time, m *member) {
 	for _, a := range m.active {
 		limit := s.slowLimit(a)
-		if limit == 0 {
+		if limit == 0 || !a.Sent.Load() {
 			continue
 		}
 		age := now.Sub(a.Started)
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -102,9 +102,9 @@
 	Careful bool
 	// Fresh opens a new connection.
 	Fresh bool
-	// Reused is called when the exchange runs on a connection that was used
-	// before.
-	Reused func()
+	// Connected is called once the exchange has a connection, with whether that
+	// was used before.
+	Connected func(reused bool)
 }
 
 // Do exchanges one request. The end tells how it went; the answer is nil unless
@@ -114,6 +114,9 @@
 	if err != nil {
 		return nil, dialEnd(ctx), err
 	}
+	if o.Connected != nil {
+		o.Connected(sc.used)
+	}
 	setDeadline(ctx, req)
 	stop := sc.watch(ctx)
 	resp := fasthttp.AcquireResponse()
@@ -173,9 +176,6 @@
 			limit = safeIdle
 		}
 		if sc := set.take(time.Now(), limit); sc != nil {
-			if o.Reused != nil {
-				o.Reused()
-			}
 			return sc, nil
 		}
 	}
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
@@ -69,6 +70,8 @@
 	// sent counts the attempts that may have run.
 	sent   int
 	broken int
+	// won is set once one of two attempts beside each other has answered.
+	won atomic.Bool
 }
 
 // result is how one attempt ended.
@@ -170,6 +173,9 @@
 // send runs one attempt and reports its end to the shard.
 func (r *run) send(ctx context.Context, a *admit.Attempt) result {
 	answer, end := r.req.Send(ctx, a)
+	if end == shard.Cancelled && r.won.Load() {
+		end = shard.Outrun
+	}
 	return r.ended(result{answer, end, a})
 }
 
@@ -199,7 +205,7 @@
 		go func() {
 			var res result
 			if caught := panics.Try(func() { res = r.send(child, a) }); caught != nil {
-				res = result{end: shard.Broken, attempt: a}
+				res = r.ended(result{end: shard.Broken, attempt: a})
 			}
 			results <- res
 		}()
@@ -220,6 +226,7 @@
 		case last = <-results:
 			running--
 			if last.end == shard.Good {
+				r.won.Store(true)
 				r.cancelLosers(cancels, last, results, running)
 				return last
 			}
--- a/io/permits/permits.go
+++ b/io/permits/permits.go
@@ -98,8 +98,8 @@
 	k.poke()
 }
 
-// share is the part of the escrow that goes with a part of the capacity, and
-// at least what its largest server needs.
+// share is the part of the escrow that goes with a part of the capacity,
+// rounded up to whole servers.
 func share(total, ownedSlots int, s *config.Service) int {
 	capacity := s.Capacity()
 	if ownedSlots == 0 || capacity == 0 {
@@ -109,7 +109,9 @@
 	for _, srv := range s.Servers {
 		largest = max(largest, srv.Slots)
 	}
-	return min(total, max((total*ownedSlots+capacity-1)/capacity, largest))
+	part := (total*ownedSlots + capacity - 1) / capacity
+	// A part of a server's slots ejects nothing.
+	return min(total, (part+largest-1)/largest*largest)
 }
 
 func (k *Keeper) poke() {
@@ -151,7 +153,7 @@
 	defer k.mu.Unlock()
 	var out []ident.ServiceID
 	for service, n := range k.needs {
-		if n.held.Slots != n.want || (n.want > 0 && n.held.Total != n.total) {
+		if n.purse.Denied() > 0 || n.held.Slots != n.want || (n.want > 0 && n.held.Total != n.total) {
 			out = append(out, service)
 		}
 	}
@@ -163,6 +165,7 @@
 	n := *k.needs[service]
 	k.mu.Unlock()
 	used, _ := n.purse.State()
+	n.want = min(n.total, n.want+n.purse.Denied())
 	if n.want < used {
 		// What is in use can't be given back yet.
 		n.want = used
@@ -173,6 +176,7 @@
 	if err != nil {
 		return err
 	}
+	n.purse.ClearDenied()
 	k.mu.Lock()
 	k.needs[service].held = hold
 	k.mu.Unlock()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -248,7 +248,10 @@
 	defer releaseRequest(req)
 	answer, end, err := r.options.Backend.Do(ctx, a.Server.Address, req, backend.Options{
 		Careful: !c.Idempotent,
-		Reused:  func() { a.Reused.Store(true) },
+		Connected: func(reused bool) {
+			a.Reused.Store(reused)
+			a.Sent.Store(true)
+		},
 	})
 	if err != nil {
 		r.options.Count("backend."+string(end), 1)
