Tell hanging servers from silent connections

Change: a shed by a server that has room by our own count proves that it runs the late attempts; they take their slots back and count as late. Two attempts in a row that a hedge outran on reused connections close those connections.

--- a/core/admit/policy.go
+++ b/core/admit/policy.go
@@ -72,13 +72,13 @@
 
 // demandDeviations is how many standard deviations above its mean demand a more
 // urgent rank finds slots kept free from long, less urgent work.
-const demandDeviations = 2
+const demandDeviations = 1
 
 // needed returns the slots that a rank may come to use soon: its mean demand
 // and some deviations of a Poisson variable, within its guarantee.
 func (r *rankShares) needed(l *Load, rank int) float64 {
 	demand := l.Demand[rank]
-	return min(r.guaranteed(l, rank), 1+demand+demandDeviations*math.Sqrt(demand))
+	return min(r.guaranteed(l, rank), demand+demandDeviations*math.Sqrt(demand))
 }
 
 // estimate divides the tickets ahead by the slots that the rank can count on:
--- a/core/shard/finish.go
+++ b/core/shard/finish.go
@@ -56,6 +56,9 @@
 	brokenWindow = 3 * time.Second
 	slowGap      = 5 * time.Millisecond
 	maxDepth     = 6
+	// outrunsSuspect is how many attempts on reused connections in a row must
+	// be outrun for the connections to be taken for silent.
+	outrunsSuspect = 2
 )
 
 // Finish ends an attempt and hands its slot on.
@@ -106,6 +109,7 @@
 }
 
 func (s *Shard) learnGood(now time.Time, m *member, a *admit.Attempt) {
+	m.outruns = 0
 	latency := now.Sub(a.Started)
 	limit := s.slowLimit(a)
 	s.kinds[a.Ticket.Kind%kindCount].Add(latency)
@@ -126,7 +130,14 @@
 // than the high quantile, which a sound server's attempts rarely do.
 func (s *Shard) learnOutrun(now time.Time, m *member, a *admit.Attempt) {
 	q := s.kinds[a.Ticket.Kind%kindCount]
-	if a.Depth > 0 || a.Reused.Load() || !a.Sent.Load() || now.Sub(a.Started) < q.High() {
+	if a.Depth > 0 || !a.Sent.Load() || now.Sub(a.Started) < q.High() {
+		return
+	}
+	if a.Reused.Load() {
+		m.outruns++
+		if m.outruns >= outrunsSuspect {
+			s.suspectConnections(m)
+		}
 		return
 	}
 	m.slows.Add(true)
@@ -150,6 +161,11 @@
 func (s *Shard) learnShed(now time.Time, m *member) {
 	m.sheds.Add(true)
 	if m.suspects() {
+		// By the count of this daemon the server has room, unless it runs the
+		// attempts that are late.
+		if m.Busy < m.Slots {
+			s.clearConnections(m)
+		}
 		return
 	}
 	if 2*(m.Busy+1) > max(m.Slots, 2) || s.medianOfPeers(m, (*member).shedRate) > peersShed {
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -98,6 +98,9 @@
 	flaps      int
 	retryAt    time.Time
 	trialGood  int
+	// outruns counts the attempts on reused connections in a row that a hedge
+	// outran.
+	outruns    int
 	rampFrom   time.Time
 	coldUntil  time.Time
 	avoidUntil time.Time
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -79,12 +79,35 @@
 	}
 	s.freeSlot(a)
 	a.Suspect = true
+	s.suspectConnections(m)
+}
+
+// suspectConnections makes what comes next run on fresh connections.
+func (s *Shard) suspectConnections(m *member) {
+	m.outruns = 0
 	s.options.Count("evidence.silentConnection")
 	if s.options.SuspectConnections != nil {
 		s.options.SuspectConnections(m.Address)
 	}
 }
 
+// clearConnections takes back the suspicion against connections: the server is
+// full, so that it does run the attempts which are late. They hold their slots
+// again, and their lateness is evidence from now on.
+func (s *Shard) clearConnections(m *member) {
+	for _, a := range m.active {
+		if !a.Suspect {
+			continue
+		}
+		a.Suspect = false
+		a.Reused.Store(false)
+		m.Busy++
+		if a.Counted {
+			s.load.Busy[a.Ticket.Rank.Index()]++
+		}
+	}
+}
+
 // suspects reports whether an attempt may be running without its slot.
 func (m *member) suspects() bool {
 	return slices.ContainsFunc(m.active, func(a *admit.Attempt) bool { return a.Suspect })
--- a/io/experiment/server.go
+++ b/io/experiment/server.go
@@ -88,6 +88,9 @@
 	ran      *bool
 }
 
+// maxIdle bounds the idle connections to one server.
+const maxIdle = 64
+
 // crashTime is how long a crashed server stays dead.
 const crashTime = 3 * time.Second
 
@@ -184,7 +187,7 @@
 	if s.deadUntil.After(begun) {
 		return nil, shard.Broken
 	}
-	s.conns++
+	s.conns = min(s.conns+1, maxIdle)
 	if fails {
 		answer := &backend.Answer{Response: &fasthttp.Response{}}
 		answer.Response.SetStatusCode(fasthttp.StatusInternalServerError)
