Count lateness as one piece of evidence for each attempt

Cause: each doubling of a late attempt counted as a new independent sample, so that one very long request could eject a sound server alone. Suspicion also starved a suspect of the work that decides about it.

Change: a further doubling adds only the ratio of a Pareto tail of index 2; idempotent work of all ranks is hedged past the slow limit, which frees the slots of a hanging server for new evidence; before the alarm a suspect keeps at least half its work. Ruled out: a steeper tail per level (one attempt alone raised the alarm).

--- a/core/detect/detect.go
+++ b/core/detect/detect.go
@@ -140,7 +140,7 @@
 		c.unreachable++
 	case Slow:
 		if !o.Cold {
-			c.slow += bad(slowRate / float64(int(1)<<o.Depth))
+			c.slow += late(slowRate, o.Depth)
 		}
 		if o.Answered {
 			c.failing = max(0, c.failing+good(failureRate))
@@ -161,6 +161,20 @@
 	return math.Log(sickRate / soundRate)
 }
 
+// tailFactor is how much rarer a latency twice as long is at a sound server.
+// Four is that of a Pareto tail with index 2, heavier than most services have.
+const tailFactor = 4
+
+// late is what one more doubling of an attempt's time adds. The first slow limit
+// counts as a bad attempt; a further doubling adds only what it makes less
+// likely, so that no single attempt can raise the alarm.
+func late(soundRate float64, depth int) float64 {
+	if depth == 0 {
+		return bad(soundRate)
+	}
+	return math.Log(tailFactor)
+}
+
 // good is the log likelihood ratio of a good attempt.
 func good(soundRate float64) float64 {
 	return math.Log((1 - sickRate) / (1 - soundRate))
--- a/core/shard/eject.go
+++ b/core/shard/eject.go
@@ -33,9 +33,10 @@
 
 // Weights, in parts of pool.FullWeight.
 const (
-	leastWeight = 50
-	trialWeight = 100
-	pathWeight  = 10
+	leastWeight    = 50
+	evidenceWeight = 500
+	trialWeight    = 100
+	pathWeight     = 10
 )
 
 // steerFrom is the suspicion from which a server gets less work.
@@ -55,7 +56,12 @@
 	}
 	weight := pool.FullWeight
 	if suspicion := m.detector.Suspicion(); suspicion > steerFrom {
-		weight = int(float64(pool.FullWeight) * (1 - suspicion))
+		// Until the alarm, the server must go on getting work: evidence comes
+		// from nothing else.
+		weight = max(evidenceWeight, int(float64(pool.FullWeight)*(1-suspicion)))
+		if suspicion >= 1 {
+			weight = leastWeight
+		}
 	}
 	if !m.rampFrom.IsZero() {
 		part := float64(now.Sub(m.rampFrom)) / float64(rampTime)
--- a/core/shard/finish.go
+++ b/core/shard/finish.go
@@ -111,7 +111,7 @@
 func (s *Shard) learnGood(now time.Time, m *member, a *admit.Attempt) {
 	m.outruns = 0
 	latency := now.Sub(a.Started)
-	limit := s.slowLimit(a)
+	limit := s.slowLimit(a.Ticket.Kind)
 	s.kinds[a.Ticket.Kind%kindCount].Add(latency)
 	s.options.Poison.Completed(s.options.ID.Service, a.Ticket.Fingerprint)
 	slow := limit > 0 && latency > limit
@@ -147,7 +147,7 @@
 // learnLate counts an attempt that never answered, unless its deadline was so
 // short that a sound server could have missed it.
 func (s *Shard) learnLate(now time.Time, m *member, a *admit.Attempt) {
-	limit := s.slowLimit(a)
+	limit := s.slowLimit(a.Ticket.Kind)
 	if limit > 0 && now.Sub(a.Started) > limit && a.Depth == 0 {
 		m.slows.Add(true)
 		s.observe(now, m, detect.Observation{Class: detect.Slow, Cold: now.Before(m.coldUntil)})
@@ -175,10 +175,10 @@
 	s.observe(now, m, detect.Observation{Class: detect.Misled})
 }
 
-// slowLimit returns the latency above which the attempt is slow against its
-// peers, or zero while that is not known.
-func (s *Shard) slowLimit(a *admit.Attempt) time.Duration {
-	q := s.kinds[a.Ticket.Kind%kindCount]
+// slowLimit returns the latency above which an attempt of a kind is slow against
+// its peers, or zero while that is not known.
+func (s *Shard) slowLimit(kind uint8) time.Duration {
+	q := s.kinds[kind%kindCount]
 	if !q.Warm() {
 		return 0
 	}
@@ -191,14 +191,16 @@
 func (s *Shard) HedgeDelay(t *admit.Ticket) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.service.Retry.HedgeQuantile == 0 || t.Rank != ident.Urgent || !t.Idempotent {
+	if s.service.Retry.HedgeQuantile == 0 || !t.Idempotent {
 		return 0
 	}
-	q := s.kinds[t.Kind%kindCount]
-	if !q.Warm() {
-		return 0
+	limit := s.slowLimit(t.Kind)
+	if t.Rank != ident.Urgent {
+		// Less urgent work is hedged where something is wrong only. That also
+		// takes it off a server that hangs, whose slots new work then tests.
+		return limit
 	}
-	return min(q.High(), time.Duration(s.service.Detector.SlowFactor*float64(q.Median())))
+	return min(s.kinds[t.Kind%kindCount].High(), limit)
 }
 
 // observe adds evidence and steers by it.
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -94,10 +94,10 @@
 	active   []*admit.Attempt
 	broken   []brokenExchange
 
-	cause      detect.Cause
-	flaps      int
-	retryAt    time.Time
-	trialGood  int
+	cause     detect.Cause
+	flaps     int
+	retryAt   time.Time
+	trialGood int
 	// outruns counts the attempts on reused connections in a row that a hedge
 	// outran.
 	outruns    int
--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -52,7 +52,7 @@
 // any deadline passes.
 func (s *Shard) lateAttempts(now time.Time, m *member) {
 	for _, a := range m.active {
-		limit := s.slowLimit(a)
+		limit := s.slowLimit(a.Ticket.Kind)
 		if limit == 0 || !a.Sent.Load() {
 			continue
 		}
