Configuration versions: histories with stale reads explained

Two faults: a patch whose reply was lost and whose id was then read stale was reported stale though it was in force; and a stale read of the head made a current patch look stale.

Change: a patch is called stale only when a higher head was seen and a conditional write, which is never stale, shows that its id was not accepted; else it is tried again. Ruled out: reading twice (both reads may be stale).

--- a/io/versions/submit.go
+++ b/io/versions/submit.go
@@ -76,7 +76,10 @@
 	}
 	// A stale read of the head must not let a patch look current.
 	if current := max(h.Version, k.Current().Version); s.Base != current {
-		return 0, &StaleError{s.Base, current}
+		return k.refuseStale(ctx, s, current)
+	}
+	if h.Version < s.Base {
+		return 0, errStaleRead
 	}
 	if err := k.catchUp(ctx, h); err != nil {
 		return 0, err
@@ -155,19 +158,39 @@
 	if !errors.As(err, &conflict) {
 		return 0, err
 	}
-	number, won, err := k.resolve(ctx, s.ID)
-	if err != nil || won {
-		return number, err
-	}
-	if slices.Contains(conflict.Keys, patchIDKey+s.ID) {
-		// The patch was accepted, but this read did not see it yet.
-		return 0, fmt.Errorf("%w: stale read of the patch id", store.ErrAway)
-	}
 	h, _, err := k.readHead(ctx)
 	if err != nil {
 		return 0, err
 	}
-	return 0, &StaleError{s.Base, max(h.Version, s.Base+1)}
+	if h.Version <= s.Base {
+		// The condition failed because the head was read stale; the base may be
+		// current.
+		return 0, errStaleRead
+	}
+	return k.refuseStale(ctx, s, h.Version)
+}
+
+// errStaleRead marks a read that did not see what is known to be there. Trying
+// again helps.
+var errStaleRead = fmt.Errorf("%w: stale read", store.ErrAway)
+
+// refuseStale says that a patch is stale, once it is certain that no earlier
+// try of it was accepted. Reads may be stale, so that the condition of a write
+// is asked: deleting the row of the id, where there is none, changes nothing.
+func (k *Keeper) refuseStale(ctx context.Context, s Submission, current ident.Version) (ident.Version, error) {
+	_, err := k.store.Transact(ctx, []store.Write{{Key: patchIDKey + s.ID, Delete: true, Expect: store.Absent}})
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		return 0, &StaleError{s.Base, current}
+	case !errors.As(err, &conflict):
+		return 0, err
+	}
+	number, won, err := k.resolve(ctx, s.ID)
+	if err == nil && !won {
+		err = errStaleRead
+	}
+	return number, err
 }
 
 // resolve reports whether a patch of that id was accepted, and as what.
