--- a/cmd/bilberrymux/serve.go
+++ b/cmd/bilberrymux/serve.go
@@ -102,7 +102,7 @@
 		return s, err
 	}
 	for name, value := range fields {
-		if value == "" || value == 0.0 {
+		if value == "" || value == 0.0 || value == nil {
 			delete(fields, name)
 		}
 	}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -27,7 +27,10 @@
 	AdminAddress  string `json:"adminAddress" long:"admin-address" description:"where operators are served"`
 
 	PlatformAddress string `json:"platformAddress" long:"platform-address" description:"the platform's table service, object store and VM list"`
-	AdminKeyFile    string `json:"adminKeyFile" long:"admin-key-file" description:"file with the operators' key"`
+	// SeedPeers are peer addresses of other daemons, asked at the start while
+	// the store is away. Addresses that are gone do no harm.
+	SeedPeers    []string `json:"seedPeers,omitempty" long:"seed-peer" description:"peer address of another daemon, asked at the start while the store is away; repeat for more"`
+	AdminKeyFile string   `json:"adminKeyFile" long:"admin-key-file" description:"file with the operators' key"`
 
 	LogLevel  string `json:"logLevel" long:"log-level" description:"error, warn, info or debug"`
 	LogFormat string `json:"logFormat" long:"log-format" description:"text or json"`
@@ -97,6 +100,11 @@
 			add(a.field, "must be an IP address and port, is %q", a.value)
 		}
 	}
+	for i, a := range s.SeedPeers {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			add(fmt.Sprintf("seedPeers[%d]", i), "must be an IP address and port, is %q", a)
+		}
+	}
 	if s.AdminKeyFile == "" {
 		add("adminKeyFile", "is missing")
 	}
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -46,8 +46,10 @@
 
 // VM is one entry of the platform's list.
 type VM struct {
-	ID      ident.VMID `json:"id"`
-	Leaving bool       `json:"leaving,omitempty"`
+	ID ident.VMID `json:"id"`
+	// Address is the IP number of the VM, where the platform tells it.
+	Address string `json:"address,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
 }
 
 // ErrAway marks a call whose effect is unknown: the store did not answer. A
--- a/io/daemon/fleet.go
+++ b/io/daemon/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -94,6 +95,9 @@
 	defer cancel()
 	d.announce(ctx)
 	d.readMembers(ctx)
+	if d.members.View().LiveCount() <= 1 {
+		d.askSeeds(ctx)
+	}
 	if err := d.versions.Poll(ctx); err != nil {
 		d.log.WithError(err).Warn("configuration not read from the store")
 		d.fetchFromPeers(ctx)
@@ -101,6 +105,39 @@
 	d.gossip.SpreadMembers(d.members.Self())
 }
 
+// askSeeds learns members and configuration from daemons at known addresses:
+// those of the settings, and those of the platform's list at the own port.
+func (d *Daemon) askSeeds(ctx context.Context) {
+	for _, address := range append(slices.Clone(d.settings.SeedPeers), d.listedPeers(ctx)...) {
+		if address == d.settings.PeerAddress || ctx.Err() != nil {
+			continue
+		}
+		if err := d.gossip.Compare(ctx, address); err != nil {
+			d.count("member.seedFailed")
+			continue
+		}
+		if d.members.View().LiveCount() > 1 && d.ConfigVersion() > 0 {
+			return
+		}
+	}
+}
+
+// listedPeers guesses the peer addresses of the VMs on the platform's list.
+func (d *Daemon) listedPeers(ctx context.Context) []string {
+	list, err := d.store.ListVMs(ctx)
+	_, port, splitErr := net.SplitHostPort(d.settings.PeerAddress)
+	if err != nil || splitErr != nil {
+		return nil
+	}
+	var out []string
+	for _, vm := range list {
+		if vm.Address != "" && !vm.Leaving {
+			out = append(out, net.JoinHostPort(vm.Address, port))
+		}
+	}
+	return out
+}
+
 // announce writes the row of this VM.
 func (d *Daemon) announce(ctx context.Context) {
 	row, err := json.Marshal(d.members.Self())
@@ -136,6 +173,7 @@
 		}
 		if d.platform.gone(e.VM) {
 			e.State = member.Down
+			d.dropRow(ctx, row)
 		}
 		entries = append(entries, e)
 	}
@@ -145,6 +183,29 @@
 	d.markLeaving()
 }
 
+// dropRow deletes the row of a VM that is gone, on one daemon of a region.
+func (d *Daemon) dropRow(ctx context.Context, row store.Row) {
+	self := d.members.Self()
+	first := d.members.View().Owners(self.Region, "poll", 1)
+	if len(first) == 0 || first[0].VM != self.VM {
+		return
+	}
+	_, _ = d.store.Transact(ctx, []store.Write{{
+		Key: row.Key, Delete: true, Expect: store.AtRevision, Revision: row.Revision,
+	}})
+}
+
+// ownsSlice reports whether this daemon cleans a slice of the claim rows.
+func (d *Daemon) ownsSlice(slice string) bool {
+	self := d.members.Self()
+	regions := d.members.View().Regions()
+	if len(regions) == 0 || regions[0] != self.Region {
+		return false
+	}
+	first := d.members.View().Owners(self.Region, slice, 1)
+	return len(first) > 0 && first[0].VM == self.VM
+}
+
 // markLeaving passes on which VMs the platform takes away, and those it took.
 func (d *Daemon) markLeaving() {
 	view := d.members.View()
@@ -208,6 +269,9 @@
 	for sleep(ctx, headPeriod/2+rand.N(headPeriod)) {
 		polls := d.polls()
 		alone := d.versions.Current().Version == 0 || d.members.View().LiveCount() <= 1
+		if alone {
+			d.askSeeds(ctx)
+		}
 		if polls || alone {
 			if err := d.versions.Poll(ctx); err != nil {
 				d.pollFailed(ctx, err)
--- a/io/daemon/run.go
+++ b/io/daemon/run.go
@@ -11,6 +11,7 @@
 	"bilberrymux/core/member"
 	"bilberrymux/core/refusal"
 	"bilberrymux/io/front"
+	"bilberrymux/io/once"
 	"bilberrymux/io/peer"
 	"bilberrymux/io/peer/peerpb"
 )
@@ -57,6 +58,8 @@
 	d.background.Go(func() { d.tickLoop(ctx) })
 	d.background.Go(func() { d.probeLoop(ctx) })
 	d.background.Go(func() { d.housekeeping(ctx) })
+	cleaner := &once.Cleaner{Store: d.store, Windows: d.windows(), Owns: d.ownsSlice, Count: d.add}
+	d.background.Go(func() { cleaner.Run(ctx) })
 	d.pokeReconcile()
 	d.serve("callers", func() error { return d.front.Serve(callers) })
 	d.log.WithField("incarnation", d.Incarnation()).Info("serving")
--- a/io/experiment/run.go
+++ b/io/experiment/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,7 +35,7 @@
 	script  *Script
 	policy  Policy
 	deploy  Deployment
-	service *config.Service
+	service atomic.Pointer[config.Service]
 	table   *table.Table
 	start   time.Time
 	ctx     context.Context
@@ -80,9 +81,9 @@
 			r.units = append(r.units, r.newUnit(region, ident.VMID(fmt.Sprintf("vm-%d-%d", i, n)), seed+uint64(10*i+n)))
 		}
 	}
-	r.result.FloorSlots = r.service.FloorSlots
-	r.result.Capacity = r.service.Capacity()
-	r.result.LowestHealthy = r.service.Capacity()
+	r.result.FloorSlots = r.service.Load().FloorSlots
+	r.result.Capacity = r.service.Load().Capacity()
+	r.result.LowestHealthy = r.service.Load().Capacity()
 	return r
 }
 
@@ -108,7 +109,7 @@
 			}
 		}
 	}
-	r.service = &s
+	r.service.Store(&s)
 }
 
 func faultsOf(s *Script, id ident.ServerID) []Fault {
@@ -205,7 +206,7 @@
 // checkFloor compares the capacity that is not ejected by anyone with the floor.
 func (r *run) checkFloor() {
 	healthy := 0
-	for id, srv := range r.service.Servers {
+	for id, srv := range r.service.Load().Servers {
 		out := false
 		for _, u := range r.units {
 			out = out || u.out[id]
@@ -215,7 +216,7 @@
 		}
 	}
 	r.result.LowestHealthy = min(r.result.LowestHealthy, healthy)
-	if healthy < r.service.FloorSlots {
+	if healthy < r.service.Load().FloorSlots {
 		r.result.FloorBreaks++
 	}
 }
@@ -228,11 +229,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.ctx = ctx
 	for _, u := range r.units {
-		if err := u.dispatcher.Shard.Update(time.Now(), r.service); err != nil {
+		if err := u.dispatcher.Shard.Update(time.Now(), r.service.Load()); err != nil {
 			panic(err)
 		}
 		u.permits.Start(ctx, &r.tasks)
-		u.permits.Want(serviceID, r.service, r.ownedSlots())
+		u.permits.Want(serviceID, r.service.Load(), r.ownedSlots())
 	}
 	time.Sleep(permitLead)
 	r.start = time.Now()
@@ -274,7 +275,7 @@
 
 // changeFloor puts a new floor in force at all daemons.
 func (r *run) changeFloor(slots int) {
-	next := *r.service
+	next := *r.service.Load()
 	next.FloorSlots = slots
 	for _, u := range r.units {
 		u.permits.Want(serviceID, &next, r.ownedSlots())
@@ -284,7 +285,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.service = &next
+	r.service.Store(&next)
 	r.result.FloorSlots = slots
 	r.checkFloor()
 }
@@ -321,7 +322,7 @@
 		}
 		time.Sleep(probeTime)
 		for _, u := range r.units {
-			for id, srv := range r.service.Servers {
+			for id, srv := range r.service.Load().Servers {
 				if srv.Region == u.region {
 					u.dispatcher.Shard.Probed(time.Now(), id, r.servers[id].report())
 				}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -45,6 +45,11 @@
 // maxDeadline bounds the deadline that a caller may ask for.
 const maxDeadline = time.Hour
 
+// readFactor is how many times the limit of a body the listener reads before it
+// closes the connection. A caller that sends a body somewhat too large reads a
+// refusal so, and not a reset connection.
+const readFactor = 4
+
 // Options are the dependencies of a Front.
 type Options struct {
 	Config func() *config.Config
@@ -73,7 +78,7 @@
 		DisableStartupMessage:        true,
 		DisableDefaultDate:           true,
 		DisableHeaderNormalizing:     false,
-		BodyLimit:                    o.MaxBodyBytes,
+		BodyLimit:                    readFactor * o.MaxBodyBytes,
 		DisablePreParseMultipartForm: true,
 		ErrorHandler:                 f.failed,
 		ReadBufferSize:               16 << 10,
@@ -226,6 +231,9 @@
 	if cfg.Version == 0 {
 		return nil, refusal.New(refusal.NotReady, "")
 	}
+	if size := len(c.Request().Body()); size > f.options.MaxBodyBytes {
+		return nil, refusal.New(refusal.BodyTooLarge, "%d bytes, the limit is %d", size, f.options.MaxBodyBytes)
+	}
 	path := string(c.Request().URI().Path())
 	method := string(c.Request().Header.Method())
 	route := cfg.Match(method, path)
--- a/io/router/shards.go
+++ b/io/router/shards.go
@@ -43,7 +43,7 @@
 // held is one shard that this daemon dispatches for.
 type held struct {
 	dispatcher *dispatch.Dispatcher
-	owned      bool
+	owned      atomic.Bool
 	version    *config.Service
 	lastUsed   atomic.Int64
 }
@@ -120,7 +120,7 @@
 		}
 	}
 	for id, h := range next {
-		h.owned = owned[id]
+		h.owned.Store(owned[id])
 		s.update(now, h, c.Service(id.Service))
 	}
 	s.current.Store(&next)
@@ -246,7 +246,7 @@
 		return 1
 	})
 	for _, id := range ids {
-		f(id, shards[id].owned, shards[id].dispatcher)
+		f(id, shards[id].owned.Load(), shards[id].dispatcher)
 	}
 }
 
--- a/io/standin/fleet/fleet.go
+++ b/io/standin/fleet/fleet.go
@@ -161,6 +161,9 @@
 		}
 		*address = free
 	}
+	for _, other := range f.Settings {
+		s.SeedPeers = append(s.SeedPeers, other.PeerAddress)
+	}
 	if f.options.Adjust != nil {
 		f.options.Adjust(&s)
 	}
