Capacity: slopes measured, and the mechanisms that failed them changed

Cause: the target's size was not worked out; four mechanisms failed on the way.

Outcomes are collected for a time that grows with the fleet (at most 200 transactions a second for all daemons) and wait for a store that is away; a new entry of a configuration is not merged with nothing; routes are found by prefix without an allocation; a decision allocates nothing of its own. A GOMEMLIMIT-like bound keeps the load of the whole target below 128 MB.

Race-detector builds of Go 1.26 crash on an expired timer inside a synctest bubble; the simulation avoids such timers.

--- a/cmd/bilberrymux/serve.go
+++ b/cmd/bilberrymux/serve.go
@@ -45,6 +45,7 @@
 	if err != nil {
 		return &exitError{exitUsage, err}
 	}
+	daemon.LimitMemory()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var rules *netseam.Rules
--- /dev/null
+++ b/core/config/bench_test.go
@@ -0,0 +1,98 @@
+package config_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"bilberrymux/core/config"
+)
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// benchParts are the sizes, as parts of the target.
+var benchParts = []float64{0.1, 0.3, 1}
+
+// BenchmarkRebuild loads a whole configuration, as a daemon does at its start,
+// and reports the memory that it takes.
+func BenchmarkRebuild(b *testing.B) {
+	for _, part := range benchParts {
+		b.Run(fmt.Sprintf("part=%g", part), func(b *testing.B) {
+			body := config.Synthetic(part)
+			before := heap()
+			var c *config.Config
+			for b.Loop() {
+				p, err := config.ParsePatch(body)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if c, err = config.Empty().Apply(p); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(heap()-before)/(1<<20), "MB-held")
+			b.ReportMetric(float64(len(body))/(1<<20), "MB-json")
+			runtime.KeepAlive(c)
+		})
+	}
+}
+
+// BenchmarkChange applies small patches to a large configuration.
+func BenchmarkChange(b *testing.B) {
+	for _, part := range benchParts {
+		p, err := config.ParsePatch(config.Synthetic(part))
+		if err != nil {
+			b.Fatal(err)
+		}
+		base, err := config.Empty().Apply(p)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for name, patch := range map[string]string{
+			"organisation": `{"organisations":{"organisation-7":{"weight":4}}}`,
+			"route":        `{"routes":{"route-7":{"rank":"urgent"}}}`,
+			"server":       `{"services":{"service-7":{"servers":{"server-7-3":{"leaving":true}}}}}`,
+		} {
+			b.Run(fmt.Sprintf("%s/part=%g", name, part), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					p, err := config.ParsePatch([]byte(patch))
+					if err != nil {
+						b.Fatal(err)
+					}
+					if _, err := base.Apply(p); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkMatch finds the route of a path.
+func BenchmarkMatch(b *testing.B) {
+	for _, part := range benchParts {
+		b.Run(fmt.Sprintf("part=%g", part), func(b *testing.B) {
+			p, err := config.ParsePatch(config.Synthetic(part))
+			if err != nil {
+				b.Fatal(err)
+			}
+			c, err := config.Empty().Apply(p)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if c.Match("GET", "/app-7/section/7/item/12345") == nil {
+					b.Fatal("no route")
+				}
+			}
+		})
+	}
+}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -122,8 +122,8 @@
 	Services      cowmap.Map[*Service]
 	Routes        cowmap.Map[*Route]
 	Organisations cowmap.Map[*Organisation]
-	// index maps a method and prefix to its route.
-	index cowmap.Map[*Route]
+	// index maps a prefix to its routes by method.
+	index cowmap.Map[[]methodRoute]
 }
 
 // Empty returns version 0, which has no entries.
--- a/core/config/patch.go
+++ b/core/config/patch.go
@@ -66,6 +66,23 @@
 	if bytes.Equal(bytes.TrimSpace(body), jsonNull) {
 		return nil, nil
 	}
+	whole, err := mergedBody(old, body)
+	if err != nil {
+		return nil, err
+	}
+	v := new(V)
+	if err := decodeStrict(whole, v); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+// mergedBody returns the JSON of an entry after the patch. A new entry without
+// nulls is its own patch, which spares the merging of a whole configuration.
+func mergedBody[V any](old *V, body json.RawMessage) ([]byte, error) {
+	if old == nil && !bytes.Contains(body, jsonNull) {
+		return body, nil
+	}
 	base := []byte("{}")
 	if old != nil {
 		encoded, err := json.Marshal(old)
@@ -78,11 +95,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	v := new(V)
-	if err := decodeStrict(whole, v); err != nil {
-		return nil, err
-	}
-	return v, nil
+	return whole, nil
 }
 
 // applySection applies the entries of one section in the order of their names.
@@ -156,22 +169,6 @@
 	}
 }
 
-func (c *Config) unindex(r *Route) {
-	for _, key := range r.indexKeys() {
-		c.index = c.index.Without(key)
-	}
-}
-
-func (c *Config) addToIndex(path string, r *Route, check *checker) {
-	for _, key := range r.indexKeys() {
-		if _, taken := c.index.Get(key); taken {
-			check.add(path+".prefix", "another route serves %q", key)
-			continue
-		}
-		c.index = c.index.With(key, r)
-	}
-}
-
 func (c *Config) applyOrganisations(p *Patch, check *checker) {
 	c.Organisations = applySection("organisations", c.Organisations, p.Organisations, check, func(path string, _, o *Organisation) {
 		if o != nil {
--- a/core/config/route.go
+++ b/core/config/route.go
@@ -1,27 +1,26 @@
 package config
 
 import (
+	"slices"
 	"strings"
 )
 
-// anyMethod stands for a route without methods in the index.
-const anyMethod = "*"
-
-func indexKey(method, prefix string) string {
-	return method + " " + prefix
+// methodRoute is the route of one method under a prefix.
+type methodRoute struct {
+	// method is an HTTP method, or anyMethod.
+	method string
+	route  *Route
 }
 
-// indexKeys returns the keys under which a route is found.
-func (r *Route) indexKeys() []string {
-	prefix := cleanPrefix(r.Prefix)
+// anyMethod stands for a route without methods.
+const anyMethod = ""
+
+// methods returns the methods under which a route is found.
+func (r *Route) methods() []string {
 	if len(r.Methods) == 0 {
-		return []string{indexKey(anyMethod, prefix)}
+		return []string{anyMethod}
 	}
-	keys := make([]string, 0, len(r.Methods))
-	for _, m := range r.Methods {
-		keys = append(keys, indexKey(m, prefix))
-	}
-	return keys
+	return r.Methods
 }
 
 // cleanPrefix drops a trailing slash, so that "/a/" and "/a" are one prefix.
@@ -35,10 +34,8 @@
 func (c *Config) Match(method, path string) *Route {
 	prefix := cleanPrefix(path)
 	for {
-		if r, ok := c.index.Get(indexKey(method, prefix)); ok {
-			return r
-		}
-		if r, ok := c.index.Get(indexKey(anyMethod, prefix)); ok {
+		routes, _ := c.index.Get(prefix)
+		if r := choose(routes, method); r != nil {
 			return r
 		}
 		cut := strings.LastIndexByte(prefix, '/')
@@ -48,3 +45,46 @@
 		prefix = prefix[:cut]
 	}
 }
+
+// choose returns the route of a method among those of one prefix.
+func choose(routes []methodRoute, method string) *Route {
+	var every *Route
+	for _, m := range routes {
+		if m.method == method {
+			return m.route
+		}
+		if m.method == anyMethod {
+			every = m.route
+		}
+	}
+	return every
+}
+
+// unindex takes a route out of the index.
+func (c *Config) unindex(r *Route) {
+	prefix := cleanPrefix(r.Prefix)
+	old, _ := c.index.Get(prefix)
+	rest := slices.DeleteFunc(slices.Clone(old), func(m methodRoute) bool { return m.route == r })
+	if len(rest) == 0 {
+		c.index = c.index.Without(prefix)
+		return
+	}
+	c.index = c.index.With(prefix, rest)
+}
+
+// addToIndex makes a route findable. It reports each method under which another
+// route is found already.
+func (c *Config) addToIndex(path string, r *Route, check *checker) {
+	prefix := cleanPrefix(r.Prefix)
+	old, _ := c.index.Get(prefix)
+	routes := slices.Clone(old)
+	for _, method := range r.methods() {
+		taken := slices.ContainsFunc(routes, func(m methodRoute) bool { return m.method == method })
+		if taken {
+			check.add(path+".prefix", "another route serves %q", method+" "+prefix)
+			continue
+		}
+		routes = append(routes, methodRoute{method, r})
+	}
+	c.index = c.index.With(prefix, routes)
+}
--- /dev/null
+++ b/core/pool/bench_test.go
@@ -0,0 +1,41 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+
+	"bilberrymux/core/ident"
+	"bilberrymux/core/pool"
+)
+
+// BenchmarkPick is one pick at half load, and at full load but for one slot.
+func BenchmarkPick(b *testing.B) {
+	for _, servers := range []int{16, 100, 1000} {
+		for _, load := range []string{"half", "full"} {
+			b.Run(fmt.Sprintf("servers=%d/load=%s", servers, load), func(b *testing.B) {
+				newPicker, err := pool.Pickers.Get("twoChoices")
+				if err != nil {
+					b.Fatal(err)
+				}
+				picker := newPicker()
+				list := make([]*pool.Server, servers)
+				for i := range list {
+					list[i] = &pool.Server{ID: ident.ServerID(fmt.Sprint(i)), State: pool.Active, Limit: 2, Busy: 1, Weight: pool.FullWeight}
+					if load == "full" && i > 0 {
+						list[i].Busy = 2
+					}
+				}
+				ask := pool.Ask{Rank: ident.Urgent, Idempotent: true}
+				random := uint64(1)
+				b.ReportAllocs()
+				for b.Loop() {
+					random = random*6364136223846793005 + 1442695040888963407
+					ask.Random = random
+					if picker.Pick(list, &ask) == nil {
+						b.Fatal("no server")
+					}
+				}
+			})
+		}
+	}
+}
--- a/core/shard/finish.go
+++ b/core/shard/finish.go
@@ -44,6 +44,15 @@
 	Cancelled End = "cancelled"
 )
 
+// attemptCounters names the counter of each end, so that counting allocates
+// nothing.
+var attemptCounters = map[End]string{
+	Good: "attempt.good", ServerError: "attempt.serverError", Broken: "attempt.broken",
+	NoAnswer: "attempt.noAnswer", SilentConnection: "attempt.silentConnection",
+	StaleConnection: "attempt.staleConnection", DialFailed: "attempt.dialFailed", Shed: "attempt.shed",
+	Drain: "attempt.drain", Outrun: "attempt.outrun", Cancelled: "attempt.cancelled",
+}
+
 // brokenExchange is a request that was running when a server cut it off.
 type brokenExchange struct {
 	fingerprint ident.Fingerprint
@@ -71,7 +80,7 @@
 		s.pump(now)
 		return
 	}
-	s.options.Count("attempt." + string(end))
+	s.options.Count(attemptCounters[end])
 	s.learn(now, m, a, end)
 	s.adapt(now, m, a, end, busy)
 	s.judge(now, m)
--- a/core/shard/offer.go
+++ b/core/shard/offer.go
@@ -103,11 +103,11 @@
 }
 
 func (s *Shard) pick(t *admit.Ticket) *pool.Server {
-	ask := pool.Ask{
+	s.ask = pool.Ask{
 		Rank: t.Rank, Idempotent: t.Idempotent, Tried: t.Tried,
 		Zone: s.options.Zone, Random: s.random.Uint64(),
 	}
-	return s.picker.Pick(s.pool, &ask)
+	return s.picker.Pick(s.pool, &s.ask)
 }
 
 // start gives the ticket a slot of the server.
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -75,11 +75,13 @@
 	byServer map[*pool.Server]*member
 	queue    *admit.Queue
 	picker   *pool.Picker
-	retry    *retry.Policy
-	load     admit.Load
-	kinds    [kindCount]*detect.Quantiles
-	random   *rand.PCG
-	shed     detect.Rate
+	// ask is reused, so that a pick allocates nothing.
+	ask    pool.Ask
+	retry  *retry.Policy
+	load   admit.Load
+	kinds  [kindCount]*detect.Quantiles
+	random *rand.PCG
+	shed   detect.Rate
 }
 
 // member is a server with the evidence about it.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +58,7 @@
 	settings settings.Settings
 	log      *logrus.Entry
 	registry metrics.Registry
+	counters sync.Map
 	started  time.Time
 
 	store    *store.Store
@@ -85,6 +88,15 @@
 	failed     chan error
 }
 
+// memoryLimit is the heap in bytes from which the garbage collector works harder,
+// below the 128 MB that a daemon may take at the target's size.
+const memoryLimit = 96 << 20
+
+// LimitMemory sets the memory limit of the process to that of a daemon.
+func LimitMemory() {
+	debug.SetMemoryLimit(memoryLimit)
+}
+
 // newIncarnation names one run of a process. The VM's name is part of it.
 func newIncarnation(vm ident.VMID) ident.Incarnation {
 	return ident.Incarnation(string(vm) + "~" + uuid.NewString()[:13])
@@ -163,6 +175,7 @@
 	}, &d.tasks)
 	d.once = once.New(once.Options{
 		Self: self.Incarnation, Store: d.store, Windows: d.windows(), Gone: d.incarnationGone, Count: d.count,
+		Daemons: func() int { return d.members.View().LiveCount() },
 	})
 	d.router = router.New(router.Options{
 		Members: d.members, Config: d.versions.Current, Shards: d.shards, Once: d.once,
@@ -190,9 +203,14 @@
 	d.add(name, 1)
 }
 
-// add adds to a counter.
+// add adds to a counter. The counters are kept beside the registry, whose lookup
+// takes a lock for all of them.
 func (d *Daemon) add(name string, n int64) {
-	metrics.GetOrRegisterCounter(name, d.registry).Inc(n)
+	c, ok := d.counters.Load(name)
+	if !ok {
+		c, _ = d.counters.LoadOrStore(name, metrics.GetOrRegisterCounter(name, d.registry))
+	}
+	c.(metrics.Counter).Inc(n)
 }
 
 // latencySamples is the size of the sample of each rank's latencies.
--- a/io/daemon/run.go
+++ b/io/daemon/run.go
@@ -273,6 +273,7 @@
 
 // flushOutcomes waits for the outcomes of runs to be written.
 func (d *Daemon) flushOutcomes(deadline time.Time) {
+	d.once.Flush()
 	for d.once.Pending() > 0 && time.Now().Before(deadline) {
 		time.Sleep(lingerStep)
 	}
--- a/io/experiment/server.go
+++ b/io/experiment/server.go
@@ -198,6 +198,11 @@
 
 // pause waits and returns the end, or how the context cut the wait short.
 func pause(ctx context.Context, d time.Duration, end shard.End) shard.End {
+	if d <= 0 {
+		// A timer that has expired before it is waited for crashes the race
+		// detector of Go 1.26 inside a bubble of testing/synctest.
+		return end
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/io/once/batch.go
+++ b/io/once/batch.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bilberrymux/core/store"
@@ -15,13 +16,19 @@
 const (
 	// batchRows bounds the rows of one transaction.
 	batchRows = 100
-	// batchWait is how long a write waits for others while a transaction is on
-	// its way.
-	batchWait = 2 * time.Millisecond
+	// claimWait is how long a claim, which a caller waits for, waits for others.
+	claimWait = 2 * time.Millisecond
+	// leastOutcomeWait and mostOutcomeWait bound how long an outcome, which
+	// nobody waits for, waits for others.
+	leastOutcomeWait = 250 * time.Millisecond
+	mostOutcomeWait  = time.Minute
+	// outcomeRate is the transactions a second that outcomes of the whole fleet
+	// may take.
+	outcomeRate = 200
 	// batchQueue bounds the writes that wait.
 	batchQueue = 4096
 	// writers is the number of transactions under way at once.
-	writers = 4
+	writers = 2
 	// writeTimeout bounds one transaction.
 	writeTimeout = 2 * time.Second
 )
@@ -36,10 +43,24 @@
 type batcher struct {
 	store *store.Store
 	queue chan *pending
+	// wait returns how long a batch is collected.
+	wait func() time.Duration
+	// flush ends the collecting of batches at once.
+	flush chan struct{}
+	// persistent tries again until the store answers.
+	persistent bool
+	// waiting counts the writes that are queued or under way.
+	waiting atomic.Int64
 }
 
-func newBatcher(s *store.Store) *batcher {
-	return &batcher{store: s, queue: make(chan *pending, batchQueue)}
+func newBatcher(s *store.Store, wait func() time.Duration) *batcher {
+	return &batcher{store: s, queue: make(chan *pending, batchQueue), wait: wait, flush: make(chan struct{})}
+}
+
+// outcomeWait spreads the transactions of a fleet of so many daemons.
+func outcomeWait(daemons int) time.Duration {
+	wait := time.Duration(daemons) * time.Second / outcomeRate
+	return min(max(wait, leastOutcomeWait), mostOutcomeWait)
 }
 
 // write waits for the write's transaction. The error is a *store.ConflictError
@@ -49,6 +70,7 @@
 	p := &pending{write: w, done: make(chan error, 1)}
 	select {
 	case b.queue <- p:
+		b.waiting.Add(1)
 	default:
 		return store.ErrAway
 	}
@@ -65,6 +87,7 @@
 func (b *batcher) later(w store.Write) bool {
 	select {
 	case b.queue <- &pending{write: w, done: make(chan error, 1)}:
+		b.waiting.Add(1)
 		return true
 	default:
 		return false
@@ -86,8 +109,9 @@
 // collect takes what waits already, and what comes within the batch wait.
 func (b *batcher) collect(first *pending) []*pending {
 	batch := []*pending{first}
-	timer := time.NewTimer(batchWait)
+	timer := time.NewTimer(b.wait())
 	defer timer.Stop()
+	flush := b.flush
 	for len(batch) < batchRows {
 		select {
 		case p := <-b.queue:
@@ -96,14 +120,24 @@
 				continue
 			}
 			// Two writes of one row can't share a transaction.
-			p.done <- b.sendOne(p)
+			b.end(p, b.sendOne(p))
 		case <-timer.C:
 			return batch
+		case <-flush:
+			// What waits already goes as well.
+			timer.Reset(0)
+			flush = nil
 		}
 	}
 	return batch
 }
 
+// end tells a write what became of it.
+func (b *batcher) end(p *pending, err error) {
+	b.waiting.Add(-1)
+	p.done <- err
+}
+
 func (b *batcher) sendOne(p *pending) error {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
@@ -111,6 +145,21 @@
 	return err
 }
 
+// storeRest is the pause before outcomes are written again.
+const storeRest = time.Second
+
+// rest waits before another try, and reports false once the context has ended.
+func rest(ctx context.Context) bool {
+	timer := time.NewTimer(storeRest)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // send writes a batch. Writes whose condition failed are told so, and the rest
 // goes again without them.
 func (b *batcher) send(ctx context.Context, batch []*pending) {
@@ -122,17 +171,20 @@
 		call, cancel := context.WithTimeout(ctx, writeTimeout)
 		_, err := b.store.Transact(call, writes)
 		cancel()
+		if b.persistent && errors.Is(err, store.ErrAway) && rest(ctx) {
+			continue
+		}
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) || len(conflict.Keys) == 0 {
 			for _, p := range batch {
-				p.done <- err
+				b.end(p, err)
 			}
 			return
 		}
 		batch = slices.DeleteFunc(batch, func(p *pending) bool {
 			failed := slices.Contains(conflict.Keys, p.write.Key)
 			if failed {
-				p.done <- &store.ConflictError{Keys: []string{p.write.Key}}
+				b.end(p, &store.ConflictError{Keys: []string{p.write.Key}})
 			}
 			return failed
 		})
--- a/io/once/once.go
+++ b/io/once/once.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -38,6 +39,8 @@
 	Gone func(ident.Incarnation) bool
 	// Count adds one to the counter of that name.
 	Count func(name string)
+	// Daemons returns the size of the fleet; nil stands for one.
+	Daemons func() int
 }
 
 // Runner runs requests at most once. It is safe for concurrent use.
@@ -46,6 +49,7 @@
 	table   *once.Table
 	claims  *batcher
 	lazy    *batcher
+	flush   sync.Once
 }
 
 // New returns a runner. Start must be called before it is used.
@@ -53,12 +57,17 @@
 	if o.Count == nil {
 		o.Count = func(string) {}
 	}
-	return &Runner{
+	if o.Daemons == nil {
+		o.Daemons = func() int { return 1 }
+	}
+	r := &Runner{
 		options: o,
 		table:   once.NewTable(o.Windows),
-		claims:  newBatcher(o.Store),
-		lazy:    newBatcher(o.Store),
+		claims:  newBatcher(o.Store, func() time.Duration { return claimWait }),
+		lazy:    newBatcher(o.Store, func() time.Duration { return outcomeWait(o.Daemons()) }),
 	}
+	r.lazy.persistent = true
+	return r
 }
 
 // sweepPeriod is how often old records are forgotten.
@@ -90,8 +99,13 @@
 }
 
 // Pending returns the number of outcomes that wait to be written.
-func (r *Runner) Pending() int {
-	return len(r.lazy.queue)
+func (r *Runner) Pending() int64 {
+	return r.lazy.waiting.Load()
+}
+
+// Flush writes outcomes without waiting for more, from now on.
+func (r *Runner) Flush() {
+	r.flush.Do(func() { close(r.lazy.flush) })
 }
 
 // Do runs the request, or gives it the outcome of the run that its key had.
--- a/io/standin/fleet/fleet.go
+++ b/io/standin/fleet/fleet.go
@@ -7,7 +7,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -136,14 +137,27 @@
 	return err
 }
 
-// freeAddress returns a loopback address that nobody listens on now.
+// The ports that daemons listen on lie below those that the kernel gives to
+// outgoing connections, so that a daemon can come back to its address.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+// host is a loopback address of this process's own, so that the fleets of
+// processes beside each other never meet.
+var host = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>14&63, os.Getpid()>>7&127, 1+os.Getpid()&127)
+
+// nextPort counts the ports that were handed out.
+var nextPort atomic.Int64
+
+// freeAddress returns an address that no daemon of this process has had.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("fleet: %w", err)
+	port := firstPort + nextPort.Add(1)
+	if port > lastPort {
+		return "", fmt.Errorf("fleet: no ports left")
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return fmt.Sprintf("%s:%d", host, port), nil
 }
 
 // StartDaemon adds a daemon on a new VM, in the regions by turns.
--- a/io/standin/load/load.go
+++ b/io/standin/load/load.go
@@ -49,6 +49,8 @@
 	Entries []string
 	Streams []Stream
 	Seed    uint64
+	// PlainKeys makes keyed requests use keys without a permit.
+	PlainKeys bool
 	// OnResult is told of each request that ended; it may be nil.
 	OnResult func(Result)
 }
@@ -162,7 +164,7 @@
 	for try := 0; ; try++ {
 		addresses := l.locate(s)
 		if key == "" && s.Keyed && len(addresses) > 0 {
-			key = fmt.Sprintf("%s.%d", addresses[0].Permit, l.next.Add(1))
+			key = fmt.Sprintf("%s.%d", l.keyPrefix(addresses[0]), l.next.Add(1))
 		}
 		last = l.send(s, addresses, key, deadline)
 		if last.ok || try >= s.Resends || !l.mayResend(s, last) {
@@ -178,6 +180,14 @@
 	l.finish(s, start, deadline, last)
 }
 
+// keyPrefix begins the idempotency keys of requests to an address.
+func (l *Load) keyPrefix(a front.Address) string {
+	if l.options.PlainKeys {
+		return fmt.Sprint("plain-", l.options.Seed)
+	}
+	return a.Permit
+}
+
 // minResendPause keeps callers from resending at once.
 const minResendPause = 50 * time.Millisecond
 
