--- a/core/config/check.go
+++ b/core/config/check.go
@@ -160,6 +160,9 @@
 	if r.TimeoutMillis < 1 || r.TimeoutMillis > maxTimeoutMillis {
 		c.add(path+".timeoutMillis", "must be 1 to %d", maxTimeoutMillis)
 	}
+	if r.KeyRequired && r.Idempotent {
+		c.add(path+".keyRequired", "makes no sense on an idempotent route")
+	}
 	for _, m := range r.Methods {
 		if m == "" || strings.ToUpper(m) != m || strings.Contains(m, " ") {
 			c.add(path+".methods", "%q is no method", m)
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -100,6 +100,9 @@
 	Rank    ident.Rank      `json:"rank"`
 	// Idempotent says that a request may run more than once.
 	Idempotent bool `json:"idempotent"`
+	// KeyRequired refuses requests without an idempotency key on a route that
+	// is not idempotent.
+	KeyRequired bool `json:"keyRequired,omitempty"`
 	// TimeoutMillis is the deadline of a request that names none.
 	TimeoutMillis int `json:"timeoutMillis,omitempty"`
 }
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -49,7 +49,6 @@
 	PeerUnreachable    Kind = "peerUnreachable"
 	PeerLost           Kind = "peerLost"
 	LinkBudget         Kind = "linkBudget"
-	Stopping           Kind = "stopping"
 	NotReady           Kind = "notReady"
 	Internal           Kind = "internal"
 )
@@ -96,7 +95,6 @@
 	PeerUnreachable:    {503, NotRun, time.Second, true, "the daemon that decides this request can't be reached"},
 	PeerLost:           {502, Unknown, time.Second, true, "the daemon that ran this request was lost"},
 	LinkBudget:         {503, NotRun, time.Second, true, "the link between the regions has no budget left"},
-	Stopping:           {503, NotRun, time.Second, true, "this daemon is stopping"},
 	NotReady:           {503, NotRun, time.Second, true, "this daemon has no configuration yet"},
 	Internal:           {500, Unknown, 0, false, "internal error"},
 }
--- /dev/null
+++ b/docs/docs.go
@@ -0,0 +1,2 @@
+// Package docs holds the project's pages.
+package docs
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -256,6 +256,9 @@
 		}
 		call.Key = &parsed
 	}
+	if call.Key == nil && route.KeyRequired {
+		return nil, refusal.New(refusal.KeyRequired, "")
+	}
 	call.Organisation = ident.OrganisationID(strings.Clone(string(call.Organisation)))
 	call.HTTP = f.outgoing(c)
 	call.Fingerprint = router.FingerprintOf(call.HTTP)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -24,7 +24,7 @@
 // The spreading of news.
 const (
 	// fanout is the number of peers that get a piece of news from each daemon.
-	fanout = 4
+	fanout = 6
 	// gatherTime is how long news waits for more news.
 	gatherTime = 50 * time.Millisecond
 	// comparePeriod is the mean time between two comparisons.
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -87,31 +88,28 @@
 		}
 		a.Response.SetBodyRaw(body)
 	}
-	var out bytes.Buffer
-	w := bufio.NewWriter(&out)
-	if err := a.Response.Write(w); err != nil {
-		return nil, refusal.New(refusal.Internal, "%v", err)
-	}
-	if err := w.Flush(); err != nil {
+	raw, err := encode(a.Response)
+	if err != nil {
 		return nil, refusal.New(refusal.Internal, "%v", err)
 	}
-	return out.Bytes(), nil
+	return raw, nil
 }
 
-// decodeAnswer reads an answer that encodeAnswer wrote.
-func decodeAnswer(raw []byte) (*backend.Answer, error) {
-	resp := &fasthttp.Response{}
-	if err := resp.Read(bufio.NewReader(bytes.NewReader(raw))); err != nil {
-		return nil, fmt.Errorf("router: kept answer: %w", err)
-	}
-	return &backend.Answer{Response: resp}, nil
+// message is a request or an answer of the HTTP library.
+type message interface {
+	Write(w *bufio.Writer) error
 }
 
-// encodeRequest writes a request as HTTP/1.1.
-func encodeRequest(req *fasthttp.Request) ([]byte, error) {
+// writers are reused, since each has a buffer.
+var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+
+// encode writes a message as HTTP/1.1.
+func encode(m message) ([]byte, error) {
 	var out bytes.Buffer
-	w := bufio.NewWriter(&out)
-	if err := req.Write(w); err != nil {
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(&out)
+	if err := m.Write(w); err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
 	if err := w.Flush(); err != nil {
@@ -120,11 +118,25 @@
 	return out.Bytes(), nil
 }
 
-// decodeRequest reads a request that encodeRequest wrote.
+// reader returns a reader whose buffer is no larger than the message.
+func reader(raw []byte) *bufio.Reader {
+	return bufio.NewReaderSize(bytes.NewReader(raw), len(raw))
+}
+
+// decodeAnswer reads an answer that encodeAnswer wrote.
+func decodeAnswer(raw []byte) (*backend.Answer, error) {
+	resp := &fasthttp.Response{}
+	if err := resp.Read(reader(raw)); err != nil {
+		return nil, fmt.Errorf("router: kept answer: %w", err)
+	}
+	return &backend.Answer{Response: resp}, nil
+}
+
+// decodeRequest reads a request that encode wrote.
 func decodeRequest(raw []byte) (*fasthttp.Request, error) {
 	req := &fasthttp.Request{}
 	req.Header.DisableNormalizing()
-	if err := req.Read(bufio.NewReader(bytes.NewReader(raw))); err != nil {
+	if err := req.Read(reader(raw)); err != nil {
 		return nil, fmt.Errorf("router: forwarded request: %w", err)
 	}
 	return req, nil
--- a/io/router/forward.go
+++ b/io/router/forward.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"time"
@@ -25,7 +23,7 @@
 // got nothing, or where the call may be repeated elsewhere; otherwise the reply
 // is final.
 func (r *Router) forward(ctx context.Context, to *member.Entry, c *Call, id ident.ShardID, key *coreonce.Key) (Reply, error) {
-	raw, err := encodeRequest(c.HTTP)
+	raw, err := encode(c.HTTP)
 	if err != nil {
 		return refuse(refusal.Internal, "%v", err), nil
 	}
@@ -94,7 +92,7 @@
 		}}
 	}
 	resp := &fasthttp.Response{}
-	if err := resp.Header.Read(bufio.NewReader(bytes.NewReader(first.GetHead()))); err != nil {
+	if err := resp.Header.Read(reader(first.GetHead())); err != nil {
 		in.end()
 		return lost(err)
 	}
@@ -203,21 +201,18 @@
 // sendAnswer sends an answer in chunks.
 func sendAnswer(reply Reply, stream peerpb.DRPCPeer_ForwardStream) error {
 	resp := reply.Answer.Response
-	first := &peerpb.ForwardChunk{Replayed: reply.Replayed, BodySize: -1}
-	var body io.Reader
-	if reply.Answer.Streamed {
-		body = resp.BodyStream()
-		first.BodySize = int64(resp.Header.ContentLength())
-	} else {
-		body = bytes.NewReader(resp.Body())
-		first.BodySize = int64(len(resp.Body()))
-		resp.Header.SetContentLength(len(resp.Body()))
-	}
+	first := &peerpb.ForwardChunk{Replayed: reply.Replayed}
+	if !reply.Answer.Streamed {
+		first.Body = resp.Body()
+		first.BodySize, first.Last = int64(len(first.Body)), true
+		resp.Header.SetContentLength(len(first.Body))
+		first.Head = resp.Header.Header()
+		return stream.Send(first)
+	}
+	first.BodySize = int64(resp.Header.ContentLength())
 	first.Head = resp.Header.Header()
-	err := sendChunks(first, body, stream)
-	if reply.Answer.Streamed {
-		_ = resp.CloseBodyStream()
-	}
+	err := sendChunks(first, resp.BodyStream(), stream)
+	_ = resp.CloseBodyStream()
 	return err
 }
 
--- a/io/standin/fleet/fleet_test.go
+++ b/io/standin/fleet/fleet_test.go
@@ -47,6 +47,7 @@
 		}},
 		Routes: map[string]config.Route{
 			"read":  {Methods: []string{"GET", "HEAD"}, Prefix: "/orders", Service: "orders", Rank: ident.Urgent, Idempotent: true, TimeoutMillis: 10_000},
+			"paid":  {Prefix: "/paid", Service: "orders", Rank: ident.Normal, KeyRequired: true, TimeoutMillis: 10_000},
 			"write": {Methods: []string{"POST"}, Prefix: "/orders", Service: "orders", Rank: ident.Urgent, TimeoutMillis: 10_000},
 		},
 		Adjust: func(s *settings.Settings) { s.LocateTTLSeconds, s.MaxBodyBytes = 1, 1<<20 },
@@ -185,6 +186,7 @@
 		{call{"POST", "/orders", "", map[string]string{front.KeyHeader: "bbp1.x"}}, 400, refusal.BadRequest},
 		{call{"POST", "/orders", strings.Repeat("x", 2<<20), nil}, 413, refusal.BodyTooLarge},
 		{call{"GET", front.LocatePath, "", nil}, 400, refusal.BadRequest},
+		{call{"POST", "/paid", "", nil}, 428, refusal.KeyRequired},
 	} {
 		resp := send(t, address, c.call)
 		r := refusalOf(t, resp)
