A shared cause ejects nobody; slowness is told sooner

Change: one fresh failure makes a peer sick for the shared-cause rule; sheds count from the third in a row; a sound server's slow part is taken as 2%, and 5% only for attempts that a hedge outran.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -23,6 +23,7 @@
 	Seeds    int      `long:"seeds" default:"1" description:"number of seeds"`
 	Policies []string `long:"policy" description:"run only this policy; repeat for more"`
 	Output   string   `long:"output" description:"write the results as JSON to this file"`
+	Summary  bool     `long:"summary" description:"print one line for all seeds, with the worst of them"`
 	Counters bool     `long:"counters" description:"print the counters of each run"`
 	Args     struct {
 		Scripts []string `positional-arg-name:"script" required:"1"`
@@ -58,7 +59,7 @@
 
 // report prints the results and tells whether what must hold was broken.
 func report(o *options, results []*experiment.Result) error {
-	if err := experiment.WriteTable(os.Stdout, results); err != nil {
+	if err := write(o, results); err != nil {
 		return err
 	}
 	if o.Counters {
@@ -76,6 +77,13 @@
 	return verdict(results)
 }
 
+func write(o *options, results []*experiment.Result) error {
+	if o.Summary {
+		return experiment.WriteSummary(os.Stdout, experiment.Summarise(results))
+	}
+	return experiment.WriteTable(os.Stdout, results)
+}
+
 // inVirtualTime runs f inside a test, since testing/synctest, which gives
 // virtual time, wants one. It ends the process with the outcome of f.
 func inVirtualTime(f func(t *testing.T) error) {
--- a/core/detect/detect.go
+++ b/core/detect/detect.go
@@ -58,6 +58,8 @@
 	Depth int
 	// Answered says that a slow attempt ended with a good answer.
 	Answered bool
+	// Outrun says that a slow attempt passed the peers' high quantile only.
+	Outrun bool
 	// Cold says that the server has just started, so that slowness is expected.
 	Cold bool
 }
@@ -95,7 +97,9 @@
 	// minFailureRate is the failure rate that a sound server may always have.
 	minFailureRate = 0.02
 	// minSlowRate is the part of slow attempts a sound server may always have.
-	minSlowRate = 0.05
+	minSlowRate = 0.02
+	// outrunRate is the part of attempts that pass the high quantile anywhere.
+	outrunRate = 0.05
 	// sickRate is the part of bad attempts at a server that is to be found.
 	sickRate = 0.7
 	// maxSoundRate bounds what the peers' rates can excuse.
@@ -140,6 +144,9 @@
 		c.unreachable++
 	case Slow:
 		if !o.Cold {
+			if o.Outrun {
+				slowRate = max(slowRate, outrunRate)
+			}
 			c.slow += late(slowRate, o.Depth)
 		}
 		if o.Answered {
--- a/core/shard/eject.go
+++ b/core/shard/eject.go
@@ -42,8 +42,10 @@
 // steerFrom is the suspicion from which a server gets less work.
 const steerFrom = 0.3
 
-// sharedSuspicion is the suspicion at which a peer counts as sick too.
-const sharedSuspicion = 0.5
+// sharedSuspicion is the suspicion at which a peer counts as sick too when a
+// shared cause is looked for: that of a single fresh failure. An alarm is only
+// put off by it, until the peers' next good answers.
+const sharedSuspicion = 0.15
 
 // sharedWindow is how long after an ejection a server counts as sick when a
 // shared cause is looked for.
--- a/core/shard/finish.go
+++ b/core/shard/finish.go
@@ -114,6 +114,7 @@
 	}
 	if end != Shed {
 		m.sheds.Add(false)
+		m.shedRun = 0
 	}
 }
 
@@ -150,7 +151,7 @@
 		return
 	}
 	m.slows.Add(true)
-	s.observe(now, m, detect.Observation{Class: detect.Slow, Cold: now.Before(m.coldUntil)})
+	s.observe(now, m, detect.Observation{Class: detect.Slow, Outrun: true, Cold: now.Before(m.coldUntil)})
 }
 
 // learnLate counts an attempt that never answered, unless its deadline was so
@@ -167,6 +168,10 @@
 // with room left misleads.
 const peersShed = 0.05
 
+// misledRun is the number of sheds in a row from which they are evidence. Fewer
+// happen where another daemon dispatches to the server as well.
+const misledRun = 3
+
 func (s *Shard) learnShed(now time.Time, m *member) {
 	m.sheds.Add(true)
 	if m.suspects() {
@@ -177,7 +182,8 @@
 		}
 		return
 	}
-	if 2*(m.Busy+1) > max(m.Slots, 2) || s.medianOfPeers(m, (*member).shedRate) > peersShed {
+	m.shedRun++
+	if m.shedRun < misledRun || 2*(m.Busy+1) > max(m.Slots, 2) || s.medianOfPeers(m, (*member).shedRate) > peersShed {
 		return
 	}
 	s.options.Count("evidence.misled")
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -102,7 +102,9 @@
 	trialGood int
 	// outruns counts the attempts on reused connections in a row that a hedge
 	// outran.
-	outruns    int
+	outruns int
+	// shedRun counts sheds in a row.
+	shedRun    int
 	rampFrom   time.Time
 	coldUntil  time.Time
 	avoidUntil time.Time
