--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"bilberrymux/io/experiment"
+	"bilberrymux/io/report"
 )
 
 // options are the flags of the command.
@@ -22,6 +23,7 @@
 	Seed     uint64   `long:"seed" default:"1" description:"first seed"`
 	Seeds    int      `long:"seeds" default:"1" description:"number of seeds"`
 	Policies []string `long:"policy" description:"run only this policy; repeat for more"`
+	Report   string   `long:"report" description:"write an HTML page with plots to this file"`
 	Output   string   `long:"output" description:"write the results as JSON to this file"`
 	Summary  bool     `long:"summary" description:"print one line for all seeds, with the worst of them"`
 	Counters bool     `long:"counters" description:"print the counters of each run"`
@@ -52,13 +54,13 @@
 		return err
 	}
 	inVirtualTime(func(t *testing.T) error {
-		return report(&o, runAll(t, todo))
+		return conclude(&o, runAll(t, todo))
 	})
 	return nil
 }
 
-// report prints the results and tells whether what must hold was broken.
-func report(o *options, results []*experiment.Result) error {
+// conclude prints the results and tells whether what must hold was broken.
+func conclude(o *options, results []*experiment.Result) error {
 	if err := write(o, results); err != nil {
 		return err
 	}
@@ -74,9 +76,25 @@
 			return err
 		}
 	}
+	if err := writeReport(o.Report, results); err != nil {
+		return err
+	}
 	return verdict(results)
 }
 
+// writeReport writes the page, if one is wanted.
+func writeReport(path string, results []*experiment.Result) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return report.Write(f, results)
+}
+
 func write(o *options, results []*experiment.Result) error {
 	if o.Summary {
 		return experiment.WriteSummary(os.Stdout, experiment.Summarise(results))
--- a/core/detect/detect.go
+++ b/core/detect/detect.go
@@ -72,6 +72,8 @@
 	Alarm func() Cause
 	// Suspicion returns the evidence as a part of the threshold, 0 to 1.
 	Suspicion func() float64
+	// Evidence returns the evidence for one cause as a part of the threshold.
+	Evidence func(cause Cause) float64
 	// Reset forgets all evidence.
 	Reset func()
 }
@@ -121,7 +123,7 @@
 
 func newCUSUM(o Options) *Detector {
 	c := &cusum{threshold: -math.Log(o.FalseAlarmRate)}
-	return &Detector{Observe: c.observe, Alarm: c.alarm, Suspicion: c.suspicion, Reset: c.reset}
+	return &Detector{Observe: c.observe, Alarm: c.alarm, Suspicion: c.suspicion, Evidence: c.evidence, Reset: c.reset}
 }
 
 func (c *cusum) observe(o Observation, base Baseline) {
@@ -203,6 +205,13 @@
 	return min(1, max(c.failing, c.slow)/c.threshold)
 }
 
+func (c *cusum) evidence(cause Cause) float64 {
+	if cause == CauseSlow {
+		return c.slow / c.threshold
+	}
+	return c.failing / c.threshold
+}
+
 func (c *cusum) reset() {
 	c.failing, c.slow, c.unreachable, c.failed = 0, 0, 0, 0
 }
@@ -234,6 +243,7 @@
 			return NoCause
 		},
 		Suspicion: func() float64 { return 0 },
+		Evidence:  func(Cause) float64 { return 0 },
 		Reset:     func() { run, cause = 0, NoCause },
 	}
 }
@@ -244,6 +254,7 @@
 		Observe:   func(Observation, Baseline) {},
 		Alarm:     func() Cause { return NoCause },
 		Suspicion: func() float64 { return 0 },
+		Evidence:  func(Cause) float64 { return 0 },
 		Reset:     func() {},
 	}
 }
--- a/core/shard/eject.go
+++ b/core/shard/eject.go
@@ -42,10 +42,13 @@
 // steerFrom is the suspicion from which a server gets less work.
 const steerFrom = 0.3
 
-// sharedSuspicion is the suspicion at which a peer counts as sick too when a
-// shared cause is looked for: that of a single fresh failure. An alarm is only
-// put off by it, until the peers' next good answers.
-const sharedSuspicion = 0.15
+// The evidence at which a peer counts as sick too when a shared cause is looked
+// for. A single fresh failure is enough: the alarm is only put off by it, until
+// the peers' next good answers. Slow answers happen at sound servers as well.
+const (
+	sharedFailing = 0.15
+	sharedSlow    = 0.5
+)
 
 // sharedWindow is how long after an ejection a server counts as sick when a
 // shared cause is looked for.
@@ -88,7 +91,7 @@
 	if m.State != pool.Active || cause == detect.NoCause || m.checking || now.Before(m.avoidUntil) {
 		return
 	}
-	if s.shared(now, m) {
+	if s.shared(now, m, cause) {
 		s.options.Count("alarm.shared")
 		return
 	}
@@ -102,15 +105,19 @@
 
 // shared reports whether at least half of the other servers are sick as well,
 // so that the cause is likely something that all depend on.
-func (s *Shard) shared(now time.Time, m *member) bool {
+func (s *Shard) shared(now time.Time, m *member, cause detect.Cause) bool {
+	enough := sharedFailing
+	if cause == detect.CauseSlow {
+		enough = sharedSlow
+	}
 	others, sick := 0, 0
 	for _, o := range s.members {
 		if o == m || o.State == pool.Draining {
 			continue
 		}
 		others++
-		recent := o.State == pool.Ejected && now.Sub(o.Since) < sharedWindow
-		if recent || (o.State == pool.Active && o.detector.Suspicion() >= sharedSuspicion) {
+		recent := o.State == pool.Ejected && o.cause == cause && now.Sub(o.Since) < sharedWindow
+		if recent || (o.State == pool.Active && o.detector.Evidence(cause) >= enough) {
 			sick++
 		}
 	}
--- a/io/experiment/result.go
+++ b/io/experiment/result.go
@@ -77,6 +77,7 @@
 	Flood        []RankView             `json:"flood,omitempty"`
 	Counters     map[string]int         `json:"counters"`
 	Events       []EventView            `json:"events"`
+	Faults       []Fault                `json:"faults"`
 	SickRequests map[ident.ServerID]int `json:"-"`
 	// Timeline is the service by rank and second.
 	Timeline [ident.RankCount][]Second `json:"timeline"`
@@ -99,7 +100,7 @@
 func newResult(s *Script, p Policy, seed uint64) Result {
 	r := Result{
 		Script: s.Name, Policy: p.Name, Seed: seed, Counters: map[string]int{},
-		SickRequests: map[ident.ServerID]int{}, seconds: float64(s.Seconds),
+		SickRequests: map[ident.ServerID]int{}, seconds: float64(s.Seconds), Faults: s.Faults,
 	}
 	for i := range r.ranks {
 		for _, st := range []*rankStats{&r.ranks[i], &r.flood[i]} {
--- /dev/null
+++ b/io/report/report_test.go
@@ -0,0 +1,33 @@
+package report_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"bilberrymux/core/ident"
+	"bilberrymux/core/pool"
+	"bilberrymux/io/experiment"
+	"bilberrymux/io/report"
+)
+
+// TestPageHasPlots draws a result with an ejection and a fault.
+func TestPageHasPlots(t *testing.T) {
+	r := &experiment.Result{
+		Script: "gray <script>", Policy: "p", Faults: []experiment.Fault{{From: 1, Until: 2}},
+		Events: []experiment.EventView{{At: 1.2, Server: "s", From: pool.Active, To: pool.Ejected}},
+	}
+	for i := range ident.Ranks {
+		r.Timeline[i] = []experiment.Second{{Sent: 2, OK: 2, MeanMS: 10}, {Sent: 2, OK: 1, MeanMS: 30}, {Sent: 0}}
+	}
+	var out bytes.Buffer
+	if err := report.Write(&out, []*experiment.Result{r}); err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(out.String(), "<svg"); n != 2 {
+		t.Fatalf("%d plots, want 2", n)
+	}
+	if strings.Contains(out.String(), "gray <script>") {
+		t.Fatal("a script's name is not escaped")
+	}
+}
