Promises under chaos, poison and the other region, over real sockets

Cause: truthful refusals, quarantine and the way to the other region were proved by parts only.

Change: a test that draws faults of servers, daemons and the store while callers send with and without keys, and holds what they were told against what servers ran; tests of the quarantine on two daemons and of a region without servers.

--- /dev/null
+++ b/io/standin/fleet/chaos_test.go
@@ -0,0 +1,236 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bilberrymux/core/config"
+	"bilberrymux/core/ident"
+	"bilberrymux/core/pool"
+	"bilberrymux/core/refusal"
+	"bilberrymux/io/daemon"
+	"bilberrymux/io/dispatch"
+	"bilberrymux/io/standin/backendserver"
+	"bilberrymux/io/standin/fleet"
+	"bilberrymux/io/standin/load"
+	"bilberrymux/io/standin/table"
+)
+
+// chaosOptions are two regions with a service of which one region has no
+// servers, so that requests cross.
+func chaosOptions() fleet.Options {
+	o := options(4)
+	o.Regions = []ident.RegionID{"north", "south"}
+	o.Services[0].WorkMedian = 10 * time.Millisecond
+	o.Services[0].Slots = 3
+	o.Services[0].Config = config.Service{FloorSlots: 12, Retry: config.Retry{HedgeQuantile: 0.9}}
+	return o
+}
+
+// serverFaults are drawn for one server at a time.
+var serverFaults = []backendserver.Faults{
+	{FailPart: 1},
+	{FailPart: 0.5},
+	{SlowFactor: 8},
+	{Hang: true},
+	{Silent: true},
+	{ShedAll: true},
+	{Draining: true},
+	{TruncatePart: 0.5},
+	{FailPart: 1, FlapMillis: 300},
+	{SickProbe: true},
+	{CrashOn: "x", CrashMillis: 300},
+}
+
+// trouble draws faults of servers, daemons and the store until the context
+// ends.
+func trouble(ctx context.Context, t *testing.T, f *fleet.Fleet, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 11))
+	killed := 0
+	// Whatever is drawn, some requests find no server that takes them.
+	for _, s := range f.Servers["orders"] {
+		s.SetFaults(backendserver.Faults{ShedAll: true})
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, s := range f.Servers["orders"] {
+		s.SetFaults(backendserver.Faults{})
+	}
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(150+r.IntN(250)) * time.Millisecond)
+		id := ident.ServerID(fmt.Sprintf("orders-%s-%d", []string{"north", "south"}[r.IntN(2)], 1+r.IntN(3)))
+		server := f.Servers["orders"][id]
+		switch r.IntN(8) {
+		case 0, 1, 2, 3:
+			server.SetFaults(serverFaults[r.IntN(len(serverFaults))])
+		case 4:
+			server.SetFaults(backendserver.Faults{})
+		case 5:
+			server.Kill(200 * time.Millisecond)
+		case 6:
+			f.Table.SetFaults(table.Faults{Down: r.IntN(2) == 0, LoseReply: 0.3, StaleReads: 0.3})
+		case 7:
+			if killed < 2 && r.IntN(3) == 0 {
+				f.Daemons[killed].Kill()
+				killed++
+				if _, err := f.StartDaemon(); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+	}
+	f.Table.SetFaults(table.Faults{})
+}
+
+// floorWatch counts the moments in which ejections push the capacity below the
+// floor. The sets of several daemons are joined.
+func floorWatch(ctx context.Context, daemons []*daemon.Daemon) int {
+	broken := 0
+	for ctx.Err() == nil {
+		out := map[ident.ServerID]int{}
+		for _, d := range daemons {
+			d.Shards().Each(func(_ ident.ShardID, _ bool, dispatcher *dispatch.Dispatcher) {
+				for _, s := range dispatcher.Shard.View().Servers {
+					if s.State == pool.Ejected || s.State == pool.Trial {
+						out[s.ID] = s.Slots
+					}
+				}
+			})
+		}
+		healthy := 18
+		for _, slots := range out {
+			healthy -= slots
+		}
+		if healthy < 12 {
+			broken++
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return broken
+}
+
+// TestPromisesUnderChaos holds what callers were told against what servers ran,
+// while servers, daemons and the store fail at random.
+func TestPromisesUnderChaos(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { chaos(t, seed) })
+	}
+}
+
+func chaos(t *testing.T, seed uint64) {
+	f := start(t, chaosOptions())
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	stream := func(name string, rank ident.Rank, method string, rate float64, keyed bool) load.Stream {
+		s := load.Stream{Name: name, Rank: rank, Method: method, Path: "/orders", Rate: rate, DeadlineMillis: 1500, Keyed: keyed, Resends: 3}
+		if method == "POST" {
+			s.Body = name
+		}
+		return s
+	}
+	permits := load.New(load.Options{Entries: f.Entries(), Seed: seed, Streams: []load.Stream{
+		stream("read", ident.Urgent, "GET", 60, false),
+		stream("order", ident.Urgent, "POST", 40, true),
+		stream("unkeyed", ident.Urgent, "POST", 20, false),
+	}})
+	plain := load.New(load.Options{Entries: f.Entries(), Seed: seed + 100, PlainKeys: true, Streams: []load.Stream{
+		stream("plain", ident.Urgent, "POST", 40, true),
+	}})
+	done := make(chan struct{}, 2)
+	for _, l := range []*load.Load{permits, plain} {
+		go func() {
+			l.Run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	watched := slices.Clone(f.Daemons[2:4])
+	go trouble(ctx, t, f, seed)
+	if n := floorWatch(ctx, watched); n > 0 {
+		t.Errorf("the floor was broken at %d moments", n)
+	}
+	<-done
+	<-done
+	time.Sleep(200 * time.Millisecond)
+	ids, keys := f.Runs()
+	for key, n := range keys {
+		if n > 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+	refused := 0
+	for _, l := range []*load.Load{permits, plain} {
+		ledger := l.Ledger()
+		refused += len(ledger.NotRun)
+		for _, id := range ledger.NotRun {
+			if ids[id] > 0 {
+				t.Errorf("%s ran though its caller was told that it did not", id)
+			}
+		}
+		for _, wrong := range ledger.Wrong {
+			t.Error(wrong)
+		}
+	}
+	if len(ids) == 0 || refused == 0 {
+		t.Fatalf("%d requests ran, %d were refused as not run: the run proves nothing", len(ids), refused)
+	}
+}
+
+// TestOtherRegionServes takes all servers of one region away: urgent work goes
+// to the other region, background work does not cross the paid link.
+func TestOtherRegionServes(t *testing.T) {
+	f := start(t, chaosOptions())
+	for id, s := range f.Servers["orders"] {
+		if id[:len("orders-north")] == "orders-north" {
+			s.Stop()
+		}
+	}
+	north := f.Entries()[0]
+	until(t, "urgent work is answered by the other region", func() bool {
+		resp := send(t, north, call{"GET", "/orders", "", nil})
+		return resp.StatusCode() == 200
+	})
+	resp := send(t, north, call{"GET", "/orders", "", map[string]string{"Priority": "u=7"}})
+	if r := refusalOf(t, resp); r.Kind != refusal.ServersUnreachable && r.Kind != refusal.NoServer {
+		t.Fatalf("background work: %d %+v", resp.StatusCode(), r)
+	}
+	if f.Daemons[0].Counter("link.bytes.request.urgent") == 0 {
+		t.Fatal("the bytes over the link were not counted")
+	}
+}
+
+// TestPoisonIsQuarantined sends a request that kills each server which runs it.
+func TestPoisonIsQuarantined(t *testing.T) {
+	f := start(t, options(2))
+	for _, s := range f.Servers["orders"] {
+		s.SetFaults(backendserver.Faults{CrashOn: "poison", CrashMillis: 500})
+	}
+	kills := func() int {
+		n := 0
+		for _, s := range f.Servers["orders"] {
+			for id := range s.Runs() {
+				if id == "poison" {
+					n += s.Runs()[id]
+				}
+			}
+		}
+		return n
+	}
+	until(t, "the request is quarantined", func() bool {
+		resp := send(t, f.Entries()[0], call{"POST", "/orders", "poison", map[string]string{backendserver.TestIDHeader: "poison"}})
+		return string(resp.Header.Peek("Bilberrymux-Refusal")) == string(refusal.Poison)
+	})
+	if n := kills(); n != 2 {
+		t.Fatalf("%d servers were killed, want 2", n)
+	}
+	until(t, "the other daemon knows", func() bool {
+		resp := send(t, f.Entries()[1], call{"POST", "/orders", "poison", nil})
+		return string(resp.Header.Peek("Bilberrymux-Refusal")) == string(refusal.Poison)
+	})
+	resp := send(t, f.Entries()[0], call{"POST", "/orders", "sound", nil})
+	if resp.StatusCode() != 200 {
+		t.Fatalf("a sound neighbour: %d %s", resp.StatusCode(), resp.Body())
+	}
+}
