--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"os"
-	"path/filepath"
 	"slices"
 	"testing"
 
@@ -15,6 +13,7 @@
 	_ "bilberrymux/core/detect"
 	_ "bilberrymux/core/pool"
 	_ "bilberrymux/core/retry"
+	"bilberrymux/internal/testfiles"
 )
 
 // patchScript is a data file: patches in a row, and what the last one gives.
@@ -29,23 +28,7 @@
 
 // TestPatchScripts applies the patches of each data file.
 func TestPatchScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/patches/*.json")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no scripts: %v", err)
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			body, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			var s patchScript
-			if err := json.Unmarshal(body, &s); err != nil {
-				t.Fatal(err)
-			}
-			runPatches(t, &s)
-		})
-	}
+	testfiles.EachJSON(t, "testdata/patches/*.json", runPatches)
 }
 
 func runPatches(t *testing.T, s *patchScript) {
--- a/core/shard/script_test.go
+++ b/core/shard/script_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,11 +12,11 @@
 
 	"bilberrymux/core/admit"
 	"bilberrymux/core/config"
-	"bilberrymux/core/detect"
 	"bilberrymux/core/escrow"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/poison"
 	"bilberrymux/core/shard"
+	"bilberrymux/internal/testfiles"
 )
 
 // player runs the lines of a script against a shard and writes what happens.
@@ -38,27 +37,17 @@
 // TestScripts plays the data files: lines that begin with "> " are events, the
 // others are what must come of them.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/scripts/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no scripts: %v", err)
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			body, err := os.ReadFile(file)
-			if err != nil {
+	testfiles.Each(t, "testdata/scripts/*.txt", func(t *testing.T, path string, body []byte) {
+		got := play(t, string(body))
+		if os.Getenv("BILBERRYMUX_WRITE_SCRIPTS") != "" {
+			if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
 				t.Fatal(err)
 			}
-			got := play(t, string(body))
-			if os.Getenv("BILBERRYMUX_WRITE_SCRIPTS") != "" {
-				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			}
-			if diff := cmp.Diff(strings.Split(string(body), "\n"), strings.Split(got, "\n")); diff != "" {
-				t.Fatalf("transcript (-want +got):\n%s", diff)
-			}
-		})
-	}
+		}
+		if diff := cmp.Diff(strings.Split(string(body), "\n"), strings.Split(got, "\n")); diff != "" {
+			t.Fatalf("transcript (-want +got):\n%s", diff)
+		}
+	})
 }
 
 func play(t *testing.T, script string) string {
@@ -301,5 +290,3 @@
 		p.say("  %s %s busy %d/%d weight %d", s.ID, s.State, s.Busy, s.Limit, s.Weight)
 	}
 }
-
-var _ = detect.Success
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -7,8 +7,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bilberrymux/core/shard"
+	"bilberrymux/internal/testfiles"
 	"bilberrymux/io/backend"
 )
 
@@ -44,23 +43,7 @@
 
 // TestReplyScripts plays what servers send, whole or not, against the client.
 func TestReplyScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/replies/*.json")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no scripts: %v", err)
-	}
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			body, err := os.ReadFile(file)
-			if err != nil {
-				t.Fatal(err)
-			}
-			var s replyScript
-			if err := json.Unmarshal(body, &s); err != nil {
-				t.Fatal(err)
-			}
-			playReplies(t, &s)
-		})
-	}
+	testfiles.EachJSON(t, "testdata/replies/*.json", playReplies)
 }
 
 // expand replaces {x*N} by N times x.
--- a/io/daemon/fleet.go
+++ b/io/daemon/fleet.go
@@ -17,6 +17,7 @@
 	coreonce "bilberrymux/core/once"
 	"bilberrymux/core/shard"
 	"bilberrymux/core/store"
+	"bilberrymux/io/loop"
 )
 
 // vmPrefix starts the key of a VM's row.
@@ -266,7 +267,7 @@
 func (d *Daemon) platformLoop(ctx context.Context) {
 	var listed, announced time.Time
 	announced = time.Now()
-	for sleep(ctx, headPeriod/2+rand.N(headPeriod)) {
+	for loop.Sleep(ctx, headPeriod/2+rand.N(headPeriod)) {
 		polls := d.polls()
 		alone := d.versions.Current().Version == 0 || d.members.View().LiveCount() <= 1
 		if alone {
--- a/io/daemon/probe.go
+++ b/io/daemon/probe.go
@@ -12,6 +12,7 @@
 	"bilberrymux/core/shard"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/dispatch"
+	"bilberrymux/io/loop"
 )
 
 // The probing of servers.
@@ -32,7 +33,7 @@
 
 // probeLoop asks the servers of owned shards for their health.
 func (d *Daemon) probeLoop(ctx context.Context) {
-	for sleep(ctx, healthPeriod) {
+	for loop.Sleep(ctx, healthPeriod) {
 		d.shards.Each(func(_ ident.ShardID, owned bool, dispatcher *dispatch.Dispatcher) {
 			if !owned {
 				return
--- a/io/daemon/run.go
+++ b/io/daemon/run.go
@@ -11,6 +11,7 @@
 	"bilberrymux/core/member"
 	"bilberrymux/core/refusal"
 	"bilberrymux/io/front"
+	"bilberrymux/io/loop"
 	"bilberrymux/io/once"
 	"bilberrymux/io/peer"
 	"bilberrymux/io/peer/peerpb"
@@ -117,7 +118,7 @@
 		case <-ctx.Done():
 			return
 		case <-d.reconcile:
-			if !sleep(ctx, reconcileGather) {
+			if !loop.Sleep(ctx, reconcileGather) {
 				return
 			}
 		case <-ticker.C:
@@ -129,45 +130,13 @@
 // idleCheck is how often shards that are not used any more are looked for.
 const idleCheck = 15 * time.Second
 
-func sleep(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (d *Daemon) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			d.shards.Tick(now)
-		}
-	}
+	loop.Every(ctx, tickPeriod, d.shards.Tick)
 }
 
 func (d *Daemon) housekeeping(ctx context.Context) {
-	sweep := time.NewTicker(connectionSweep)
-	defer sweep.Stop()
-	forget := time.NewTicker(forgetPeriod)
-	defer forget.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-sweep.C:
-			d.backend.Expire(now)
-		case now := <-forget.C:
-			d.members.Forget(now, d.platform.gone)
-		}
-	}
+	d.background.Go(func() { loop.Every(ctx, connectionSweep, d.backend.Expire) })
+	loop.Every(ctx, forgetPeriod, func(now time.Time) { d.members.Forget(now, d.platform.gone) })
 }
 
 // locateCount is the number of addresses in a locate answer.
--- a/io/experiment/run.go
+++ b/io/experiment/run.go
@@ -20,6 +20,7 @@
 	"bilberrymux/core/shard"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/dispatch"
+	"bilberrymux/io/loop"
 	"bilberrymux/io/permits"
 	"bilberrymux/io/standin/table"
 )
@@ -291,18 +292,11 @@
 }
 
 func (r *run) tick(ctx context.Context) {
-	ticker := time.NewTicker(shard.TickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			for _, u := range r.units {
-				u.dispatcher.Shard.Tick(now)
-			}
+	loop.Every(ctx, shard.TickPeriod, func(now time.Time) {
+		for _, u := range r.units {
+			u.dispatcher.Shard.Tick(now)
 		}
-	}
+	})
 }
 
 // probeTime is how long a health probe takes, probePeriod how often it is sent.
@@ -312,14 +306,7 @@
 )
 
 func (r *run) probe(ctx context.Context) {
-	ticker := time.NewTicker(probePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	loop.Every(ctx, probePeriod, func(time.Time) {
 		time.Sleep(probeTime)
 		for _, u := range r.units {
 			for id, srv := range r.service.Load().Servers {
@@ -328,7 +315,7 @@
 				}
 			}
 		}
-	}
+	})
 }
 
 // rate returns the arrivals a second of a rank in one region at a time.
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"bilberrymux/core/ident"
 	"bilberrymux/core/member"
 	"bilberrymux/core/poison"
+	"bilberrymux/io/loop"
 	"bilberrymux/io/peer"
 	"bilberrymux/io/peer/peerpb"
 	"bilberrymux/io/versions"
@@ -121,7 +122,7 @@
 			return
 		case <-g.wake:
 		}
-		if !sleep(ctx, gatherTime) {
+		if !loop.Sleep(ctx, gatherTime) {
 			return
 		}
 		g.Flush(ctx)
@@ -267,7 +268,7 @@
 func (g *Gossip) compareLoop(ctx context.Context) {
 	for {
 		jitter := time.Duration(rand.Int64N(int64(comparePeriod)))
-		if !sleep(ctx, comparePeriod/2+jitter) {
+		if !loop.Sleep(ctx, comparePeriod/2+jitter) {
 			return
 		}
 		peers := g.randomLive(1)
@@ -332,14 +333,3 @@
 	}
 	return g.FetchConfig(ctx, address)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/io/gossip/probe.go
+++ b/io/gossip/probe.go
@@ -11,6 +11,7 @@
 
 	"bilberrymux/core/ident"
 	"bilberrymux/core/member"
+	"bilberrymux/io/loop"
 	"bilberrymux/io/peer/peerpb"
 )
 
@@ -31,7 +32,7 @@
 // the own region are watched, so that a split between regions makes no daemon
 // look dead.
 func (g *Gossip) probeLoop(ctx context.Context) {
-	for turn := 0; sleep(ctx, probePeriod); turn++ {
+	for turn := 0; loop.Sleep(ctx, probePeriod); turn++ {
 		targets := g.successors()
 		if len(targets) == 0 {
 			continue
--- a/io/once/batch.go
+++ b/io/once/batch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bilberrymux/core/store"
+	"bilberrymux/io/loop"
 )
 
 // The batching of writes.
@@ -148,18 +149,6 @@
 // storeRest is the pause before outcomes are written again.
 const storeRest = time.Second
 
-// rest waits before another try, and reports false once the context has ended.
-func rest(ctx context.Context) bool {
-	timer := time.NewTimer(storeRest)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // send writes a batch. Writes whose condition failed are told so, and the rest
 // goes again without them.
 func (b *batcher) send(ctx context.Context, batch []*pending) {
@@ -171,7 +160,7 @@
 		call, cancel := context.WithTimeout(ctx, writeTimeout)
 		_, err := b.store.Transact(call, writes)
 		cancel()
-		if b.persistent && errors.Is(err, store.ErrAway) && rest(ctx) {
+		if b.persistent && errors.Is(err, store.ErrAway) && loop.Sleep(ctx, storeRest) {
 			continue
 		}
 		var conflict *store.ConflictError
--- a/io/once/once.go
+++ b/io/once/once.go
@@ -14,6 +14,7 @@
 	"bilberrymux/core/once"
 	"bilberrymux/core/refusal"
 	"bilberrymux/core/store"
+	"bilberrymux/io/loop"
 )
 
 // Request is a request with a key.
@@ -80,16 +81,7 @@
 		wg.Go(func() { r.lazy.run(ctx) })
 	}
 	wg.Go(func() {
-		ticker := time.NewTicker(sweepPeriod)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case now := <-ticker.C:
-				r.table.Sweep(now)
-			}
-		}
+		loop.Every(ctx, sweepPeriod, func(now time.Time) { r.table.Sweep(now) })
 	})
 }
 
--- a/io/once/retention.go
+++ b/io/once/retention.go
@@ -8,6 +8,7 @@
 
 	"bilberrymux/core/once"
 	"bilberrymux/core/store"
+	"bilberrymux/io/loop"
 )
 
 // The cleaning of claim rows.
@@ -34,14 +35,7 @@
 
 // Run cleans until the context ends.
 func (c *Cleaner) Run(ctx context.Context) {
-	ticker := time.NewTicker(cleanPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for loop.Sleep(ctx, cleanPeriod) {
 		for _, slice := range once.Slices() {
 			if !c.Owns(slice) {
 				continue
@@ -49,10 +43,8 @@
 			if err := c.CleanSlice(ctx, slice, time.Now()); err != nil {
 				c.Count("once.cleanFailed", 1)
 			}
-			select {
-			case <-ctx.Done():
+			if !loop.Sleep(ctx, sliceRest) {
 				return
-			case <-time.After(sliceRest):
 			}
 		}
 	}
