--- a/io/once/batch.go
+++ b/io/once/batch.go
@@ -15,8 +15,9 @@
 
 // The batching of writes.
 const (
-	// batchRows bounds the rows of one transaction.
-	batchRows = 100
+	// claimRows and outcomeRows bound the rows of one transaction.
+	claimRows   = 100
+	outcomeRows = 1000
 	// claimWait is how long a claim, which a caller waits for, waits for others.
 	claimWait = 2 * time.Millisecond
 	// leastOutcomeWait and mostOutcomeWait bound how long an outcome, which
@@ -27,7 +28,7 @@
 	// may take.
 	outcomeRate = 200
 	// batchQueue bounds the writes that wait.
-	batchQueue = 4096
+	batchQueue = 16_384
 	// writers is the number of transactions under way at once.
 	writers = 2
 	// writeTimeout bounds one transaction.
@@ -44,8 +45,9 @@
 type batcher struct {
 	store *store.Store
 	queue chan *pending
-	// wait returns how long a batch is collected.
+	// wait returns how long a batch is collected, rows bounds it.
 	wait func() time.Duration
+	rows int
 	// flush ends the collecting of batches at once.
 	flush chan struct{}
 	// persistent tries again until the store answers.
@@ -54,8 +56,10 @@
 	waiting atomic.Int64
 }
 
-func newBatcher(s *store.Store, wait func() time.Duration) *batcher {
-	return &batcher{store: s, queue: make(chan *pending, batchQueue), wait: wait, flush: make(chan struct{})}
+func newBatcher(s *store.Store, rows int, wait func() time.Duration) *batcher {
+	return &batcher{
+		store: s, queue: make(chan *pending, batchQueue), rows: rows, wait: wait, flush: make(chan struct{}),
+	}
 }
 
 // outcomeWait spreads the transactions of a fleet of so many daemons.
@@ -113,7 +117,7 @@
 	timer := time.NewTimer(b.wait())
 	defer timer.Stop()
 	flush := b.flush
-	for len(batch) < batchRows {
+	for len(batch) < b.rows {
 		select {
 		case p := <-b.queue:
 			if !slices.ContainsFunc(batch, func(o *pending) bool { return o.write.Key == p.write.Key }) {
--- a/io/once/once.go
+++ b/io/once/once.go
@@ -64,8 +64,8 @@
 	r := &Runner{
 		options: o,
 		table:   once.NewTable(o.Windows),
-		claims:  newBatcher(o.Store, func() time.Duration { return claimWait }),
-		lazy:    newBatcher(o.Store, func() time.Duration { return outcomeWait(o.Daemons()) }),
+		claims:  newBatcher(o.Store, claimRows, func() time.Duration { return claimWait }),
+		lazy:    newBatcher(o.Store, outcomeRows, func() time.Duration { return outcomeWait(o.Daemons()) }),
 	}
 	r.lazy.persistent = true
 	return r
