Refusals after a lost forward or a lost hedge own up to a possible run

Cause: reading the paths that refuse: (1) a repeatable request that was forwarded, lost, and then refused here was called not run; (2) the error of a lost forward was judged after the call's context had been cancelled, so that no lost forward was ever repeated; (3) of two attempts beside each other only the last one's end was accounted for, so that a cut first attempt and a failed dial of its hedge were called not run.

Change: each attempt and each forward is accounted for when it ends.

--- a/cmd/bilberrymux/links.go
+++ b/cmd/bilberrymux/links.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/io/loop"
 	"bilberrymux/io/netseam"
 	"bilberrymux/io/standin/platformserver"
 )
@@ -32,18 +33,7 @@
 		}
 	}
 	read()
-	go func() {
-		ticker := time.NewTicker(linkPeriod)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				read()
-			}
-		}
-	}()
+	go loop.Every(ctx, linkPeriod, func(time.Time) { read() })
 	return func(address string) string {
 		if name, ok := (*names.Load())[address]; ok {
 			return name
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -67,9 +67,10 @@
 	d      *Dispatcher
 	req    *Request
 	ticket admit.Ticket
-	// sent counts the attempts that may have run.
-	sent   int
-	broken int
+	// sent counts the attempts that may have run, broken those among them that a
+	// server cut off. Two attempts may end beside each other.
+	sent   atomic.Int32
+	broken atomic.Int32
 	// won is set once one of two attempts beside each other has answered.
 	won atomic.Bool
 }
@@ -115,8 +116,8 @@
 		if res.end == shard.Good {
 			return res.answer, nil
 		}
-		failure, kind := r.failure(res.end)
-		again := failure != "" && r.broken < maxBroken && r.d.Shard.Retry(retry.Attempt{
+		failure, kind := failureOf(res.end)
+		again := failure != "" && r.broken.Load() < maxBroken && r.d.Shard.Retry(retry.Attempt{
 			Number: number, Idempotent: r.req.Idempotent, Failure: failure,
 		})
 		if again {
@@ -133,7 +134,7 @@
 // refuse builds a refusal that owns up to attempts which may have run.
 func (r *run) refuse(kind refusal.Kind) *refusal.Error {
 	e := refusal.New(kind, "")
-	e.Ran = r.sent > 0
+	e.Ran = r.sent.Load() > 0
 	return e
 }
 
@@ -182,6 +183,7 @@
 // ended reports the end of an attempt. A streamed answer keeps its slot until
 // its body has passed.
 func (r *run) ended(res result) result {
+	r.account(res.end)
 	if res.answer != nil && res.answer.Streamed {
 		a := res.attempt
 		res.answer.OnEnd(func(end shard.End) { r.d.Shard.Finish(time.Now(), a, end) })
@@ -194,6 +196,18 @@
 	return res
 }
 
+// account notes whether an attempt may have run without an answer to show.
+func (r *run) account(end shard.End) {
+	switch end {
+	case shard.Good, shard.DialFailed, shard.Shed, shard.Drain:
+		return
+	case shard.Broken, shard.StaleConnection:
+		r.broken.Add(1)
+	default:
+	}
+	r.sent.Add(1)
+}
+
 // hedged races a late attempt against a second one on another server. The
 // loser is cancelled.
 func (r *run) hedged(ctx context.Context, first *admit.Attempt, delay time.Duration) result {
@@ -256,26 +270,21 @@
 	}()
 }
 
-// failure tells what a failed end means for a further attempt, and the refusal
+// failureOf tells what a failed end means for a further attempt, and the refusal
 // if there is none.
-func (r *run) failure(end shard.End) (retry.Failure, refusal.Kind) {
+func failureOf(end shard.End) (retry.Failure, refusal.Kind) {
 	switch end {
 	case shard.DialFailed:
 		return retry.Unreached, refusal.ServersUnreachable
 	case shard.Shed, shard.Drain:
 		return retry.Shed, refusal.ServersShed
 	case shard.ServerError:
-		r.sent++
 		return retry.Answered, refusal.ServerFailed
 	case shard.Broken, shard.StaleConnection:
-		r.sent++
-		r.broken++
 		return retry.MayHaveRun, refusal.ServerFailed
 	case shard.Cancelled:
-		r.sent++
 		return "", refusal.CallerGone
 	default:
-		r.sent++
 		return "", refusal.DeadlineRunning
 	}
 }
--- a/io/router/forward.go
+++ b/io/router/forward.go
@@ -42,17 +42,18 @@
 	stream, err := r.options.Client.Peer(ctx, to.PeerAddress).Forward(ctx, req)
 	if err != nil {
 		cancel()
-		if notReached(err, repeatable) {
-			return Reply{}, wrapNotReached(err)
+		if free := elsewhere(err, repeatable); free != nil {
+			return Reply{}, free
 		}
 		return lost(err), nil
 	}
 	first, err := stream.Recv()
 	if err != nil {
+		inTime := ctx.Err() == nil
 		cancel()
 		stream.Close()
-		if notReached(err, repeatable && ctx.Err() == nil) {
-			return Reply{}, wrapNotReached(err)
+		if free := elsewhere(err, repeatable && inTime); free != nil {
+			return Reply{}, free
 		}
 		return lost(err), nil
 	}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -207,6 +207,7 @@
 	self := r.options.Members.Self()
 	id := ident.ShardID{Service: c.Service, Region: region}
 	owners := r.options.Members.View().Owners(region, id.String(), ownersTried)
+	ran := false
 	for _, owner := range owners {
 		if owner.VM == self.VM {
 			break
@@ -220,11 +221,22 @@
 			return reply
 		}
 		r.options.Count("forward.unreached", 1)
+		ran = ran || errors.Is(err, errLost)
 		if ctx.Err() != nil {
-			return refuse(refusal.DeadlineInQueue, "")
+			return mayHaveRun(refuse(refusal.DeadlineInQueue, ""), ran)
 		}
 	}
-	return r.Local(ctx, c, region)
+	return mayHaveRun(r.Local(ctx, c, region), ran)
+}
+
+// mayHaveRun owns up, in a refusal, to an earlier forward that may have run.
+func mayHaveRun(reply Reply, ran bool) Reply {
+	if reply.Refused != nil && ran {
+		e := *reply.Refused
+		e.Ran = true
+		reply.Refused = &e
+	}
+	return reply
 }
 
 // Local runs a call on servers from this daemon.
@@ -259,16 +271,23 @@
 	return answer, end
 }
 
-// errNotReached marks a forward that no daemon got, or that may be repeated.
-var errNotReached = errors.New("router: peer not reached")
+// The errors that leave a forwarded call free to go elsewhere.
+var (
+	// errNotReached marks a forward that no daemon got.
+	errNotReached = errors.New("router: peer not reached")
+	// errLost marks a forward that may have run, of a call that may be repeated.
+	errLost = errors.New("router: peer lost")
+)
 
-// notReached reports whether an error of a peer's call leaves the call free to
-// go elsewhere.
-func notReached(err error, repeatable bool) bool {
+// elsewhere returns the error that leaves a call free to go elsewhere, or nil
+// where it is not: it may have run and must not be repeated.
+func elsewhere(err error, repeatable bool) error {
 	var dial *peer.DialError
-	return repeatable || errors.As(err, &dial)
-}
-
-func wrapNotReached(err error) error {
-	return fmt.Errorf("%w: %w", errNotReached, err)
+	switch {
+	case errors.As(err, &dial):
+		return fmt.Errorf("%w: %w", errNotReached, err)
+	case repeatable:
+		return fmt.Errorf("%w: %w", errLost, err)
+	}
+	return nil
 }
--- a/io/standin/backendserver/server.go
+++ b/io/standin/backendserver/server.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -188,22 +189,14 @@
 func (s *Server) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.runs))
-	for id, n := range s.runs {
-		out[id] = n
-	}
-	return out
+	return maps.Clone(s.runs)
 }
 
 // Keys returns how often each idempotency key was run.
 func (s *Server) Keys() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.keys))
-	for id, n := range s.keys {
-		out[id] = n
-	}
-	return out
+	return maps.Clone(s.keys)
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
--- /dev/null
+++ b/io/standin/fleet/lost_test.go
@@ -0,0 +1,96 @@
+package fleet_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"bilberrymux/core/ident"
+	"bilberrymux/core/member"
+	"bilberrymux/core/refusal"
+	"bilberrymux/io/peer"
+	"bilberrymux/io/peer/peerpb"
+	"bilberrymux/io/standin/fleet"
+)
+
+// losingOwner is a daemon that takes forwards and loses them.
+func losingOwner(t *testing.T) string {
+	t.Helper()
+	server, err := peer.NewServer(peer.Handlers{
+		Forward: func(*peerpb.ForwardRequest, peerpb.DRPCPeer_ForwardStream) error {
+			return errors.New("lost after it may have run")
+		},
+		Exchange: func(context.Context, *peerpb.News) (*peerpb.News, error) { return &peerpb.News{}, nil },
+		Probe: func(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+			return &peerpb.ProbeReply{Reached: true}, nil
+		},
+		FetchConfig: func(*peerpb.FetchRequest, peerpb.DRPCPeer_FetchConfigStream) error { return errors.New("none") },
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx, l)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		l.Close()
+		<-done
+	})
+	return l.Addr().String()
+}
+
+// owningVM returns the name of a VM that would own the shard beside the daemon.
+func owningVM(f *fleet.Fleet) ident.VMID {
+	self := member.Entry{VM: f.Settings[0].VM, Incarnation: "a", Region: "north", State: member.Live}
+	shard := ident.ShardID{Service: "orders", Region: "north"}
+	for i := 0; ; i++ {
+		vm := ident.VMID(fmt.Sprint("other-", i))
+		table := member.New(self, nil)
+		table.Merge(time.Now(), []member.Entry{{VM: vm, Incarnation: "b", Region: "north", State: member.Live}})
+		if table.View().Owners("north", shard.String(), 1)[0].VM == vm {
+			return vm
+		}
+	}
+}
+
+// TestLostForwardIsNotCalledNotRun forwards a repeatable request to an owner that
+// loses it, and has no server of its own: the refusal must leave open whether
+// the request ran.
+func TestLostForwardIsNotCalledNotRun(t *testing.T) {
+	f := start(t, options(1))
+	vm, address := owningVM(f), losingOwner(t)
+	client := peer.NewClient(func(ctx context.Context, a string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", a)
+	}, nil)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := client.Peer(ctx, f.Settings[0].PeerAddress).Exchange(ctx, &peerpb.News{Members: []*peerpb.Member{{
+		Vm: string(vm), Incarnation: "b", PeerAddress: address, CallerAddress: "127.0.0.1:1", Region: "north", State: "live", Started: 1,
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range f.Servers["orders"] {
+		s.Stop()
+	}
+	resp := send(t, f.Entries()[0], call{"GET", "/orders", "", nil})
+	if r := refusalOf(t, resp); r.Outcome != refusal.Unknown {
+		t.Fatalf("a request that the owner may have run: %+v", r)
+	}
+	if f.Daemons[0].Counter("forward.unreached") == 0 {
+		t.Fatalf("nothing was forwarded: the test proves nothing: %s", resp.Body())
+	}
+}
