--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -60,6 +60,9 @@
 	Tried []ident.ServerID
 	// Zone is the availability zone of the daemon.
 	Zone ident.ZoneID
+	// Freed is a server that has just got a free slot, or nil. It spares the
+	// search where all others are busy.
+	Freed *Server
 	// Random is a random number that the picker may consume.
 	Random uint64
 }
@@ -135,6 +138,9 @@
 	if best != nil {
 		return best
 	}
+	if f := ask.Freed; f != nil && f.State == Active && 2*f.Weight >= FullWeight && ask.may(f) {
+		return f
+	}
 	return scan(servers, ask, rnd)
 }
 
--- a/core/shard/eject.go
+++ b/core/shard/eject.go
@@ -39,9 +39,6 @@
 	pathWeight     = 10
 )
 
-// steerFrom is the suspicion from which a server gets less work.
-const steerFrom = 0.3
-
 // The evidence at which a peer counts as sick too when a shared cause is looked
 // for. A single fresh failure is enough: the alarm is only put off by it, until
 // the peers' next good answers. Slow answers happen at sound servers as well.
@@ -59,14 +56,12 @@
 	if m.State != pool.Active {
 		return
 	}
-	weight := pool.FullWeight
-	if suspicion := m.detector.Suspicion(); suspicion > steerFrom {
-		// Until the alarm, the server must go on getting work: evidence comes
-		// from nothing else.
-		weight = max(evidenceWeight, int(float64(pool.FullWeight)*(1-suspicion)))
-		if suspicion >= 1 {
-			weight = leastWeight
-		}
+	// Until the alarm, the server must go on getting work: evidence comes from
+	// nothing else.
+	suspicion := m.detector.Suspicion()
+	weight := max(evidenceWeight, int(float64(pool.FullWeight)*(1-suspicion)))
+	if suspicion >= 1 {
+		weight = leastWeight
 	}
 	if !m.rampFrom.IsZero() {
 		part := float64(now.Sub(m.rampFrom)) / float64(rampTime)
--- a/core/shard/offer.go
+++ b/core/shard/offer.go
@@ -105,7 +105,7 @@
 func (s *Shard) pick(t *admit.Ticket) *pool.Server {
 	s.ask = pool.Ask{
 		Rank: t.Rank, Idempotent: t.Idempotent, Tried: t.Tried,
-		Zone: s.options.Zone, Random: s.random.Uint64(),
+		Zone: s.options.Zone, Random: s.random.Uint64(), Freed: s.freed,
 	}
 	return s.picker.Pick(s.pool, &s.ask)
 }
@@ -138,6 +138,7 @@
 	if m == nil {
 		return nil
 	}
+	s.freed = a.Server
 	if i := slices.Index(m.active, a); i >= 0 {
 		last := len(m.active) - 1
 		m.active[i] = m.active[last]
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -76,7 +76,9 @@
 	queue    *admit.Queue
 	picker   *pool.Picker
 	// ask is reused, so that a pick allocates nothing.
-	ask    pool.Ask
+	ask pool.Ask
+	// freed is the server whose slot was given back last, or nil.
+	freed  *pool.Server
 	retry  *retry.Policy
 	load   admit.Load
 	kinds  [kindCount]*detect.Quantiles
@@ -285,6 +287,7 @@
 // drop forgets a server that the configuration lost. Its attempts end normally.
 func (s *Shard) drop(m *member) {
 	s.giveBack(m)
+	s.freed = nil
 	delete(s.byServer, &m.Server)
 }
 
--- a/examples/fleet/run.sh
+++ b/examples/fleet/run.sh
@@ -41,7 +41,7 @@
   cat > "$work/vm-$i.json" <<J
 {"vm":"vm-$i","region":"$region","zone":"$zone","callerAddress":"127.0.1.$((i + 1)):17001",
  "peerAddress":"127.0.1.$((i + 1)):17002","adminAddress":"127.0.1.$((i + 1)):17003",
- "platformAddress":"$platform","adminKeyFile":"$work/key","logLevel":"info","locateTtlSeconds":3}
+ "platformAddress":"$platform","adminKeyFile":"$work/key","logLevel":"info","locateTtlSeconds":3,"testLinks":"$platform"}
 J
   bin/bilberrymux serve --settings "$work/vm-$i.json" 2>> "$work/log" &
   daemon_pid[$i]=$!
@@ -49,6 +49,22 @@
   pids+=($!)
 }
 declare -A daemon_pid
+
+# 12 ms between regions, there and back, between daemons and to servers
+python3 - "examples/$team/config.json" $daemons ${regions[@]} > "$work/links" <<'P'
+import json, sys
+config, daemons, regions = json.load(open(sys.argv[1])), int(sys.argv[2]), sys.argv[3:]
+names = {f"127.0.1.{i+1}:17002": regions[i % 2] for i in range(daemons)}
+for service in config["services"].values():
+    for server in service["servers"].values():
+        names[server["address"]] = server["region"]
+rules = []
+for i in range(daemons):
+    other = regions[1 - i % 2]
+    rules += [{"from": f"vm-{i}", "to": other, "delayMillis": 6}, {"from": other, "to": f"vm-{i}", "delayMillis": 6}]
+json.dump({"rules": rules, "names": names}, sys.stdout)
+P
+curl -s -o /dev/null -X POST --data-binary "@$work/links" http://$platform/admin/links
 for i in $(seq 0 $((daemons - 1))); do start_daemon "$i"; done
 sleep 3
 admin() { bin/bilberrymux "$1" -a 127.0.1.1:17003 -k "$work/key" "${@:2}"; }
--- a/io/netseam/netseam.go
+++ b/io/netseam/netseam.go
@@ -1,5 +1,6 @@
-// Package netseam wraps dialling and accepting so that tests and the stand-ins
-// can delay or lose traffic in one direction between two named processes.
+// Package netseam wraps dialling so that tests and the stand-ins can delay or
+// lose traffic in either direction between two named processes. The dialling
+// side applies the rules of both directions.
 package netseam
 
 import (
@@ -126,7 +127,8 @@
 	net.Conn
 	rules      *Rules
 	self, peer string
-	silenced   atomic.Bool
+	// silenced and deaf say that bytes to or from the peer were lost.
+	silenced, deaf atomic.Bool
 }
 
 // Write sends, holds back or loses bytes. Once bytes were lost the connection
@@ -145,6 +147,28 @@
 	return c.Conn.Write(p)
 }
 
+// Read receives, holds back or loses bytes of the other direction. What was lost
+// leaves a gap, so that nothing more can come.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil {
+			return n, err
+		}
+		lose, delay := c.rules.between(c.peer, c.self)
+		if lose {
+			c.deaf.Store(true)
+		}
+		if c.deaf.Load() {
+			continue
+		}
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		return n, nil
+	}
+}
+
 // SyscallConn gives access to the socket for liveness checks.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
--- a/io/standin/fleet/chaos_test.go
+++ b/io/standin/fleet/chaos_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -14,10 +15,13 @@
 	"bilberrymux/core/refusal"
 	"bilberrymux/io/daemon"
 	"bilberrymux/io/dispatch"
+	"bilberrymux/io/front"
+	"bilberrymux/io/netseam"
 	"bilberrymux/io/standin/backendserver"
 	"bilberrymux/io/standin/fleet"
 	"bilberrymux/io/standin/load"
 	"bilberrymux/io/standin/table"
+	"bilberrymux/io/versions"
 )
 
 // chaosOptions are two regions with a service of which one region has no
@@ -234,3 +238,85 @@
 		t.Fatalf("a sound neighbour: %d %s", resp.StatusCode(), resp.Body())
 	}
 }
+
+// TestRegionsPartAndMeet cuts both directions between the regions: each goes on
+// by itself and takes nobody for dead, and afterwards they agree again.
+func TestRegionsPartAndMeet(t *testing.T) {
+	o := chaosOptions()
+	o.Rules = &netseam.Rules{}
+	f := start(t, o)
+	var rules []netseam.Rule
+	for i := range f.Settings {
+		for j := range f.Settings {
+			if f.Settings[i].Region != f.Settings[j].Region {
+				rules = append(rules, netseam.Rule{From: string(f.Settings[i].VM), To: string(f.Settings[j].VM), Lose: true})
+			}
+		}
+	}
+	moves := func() int64 {
+		n := int64(0)
+		for _, d := range f.Daemons {
+			n += d.Counter("member.down") + d.Counter("shard.openedAsSubstitute")
+		}
+		return n
+	}
+	o.Rules.Set(rules)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		for _, address := range f.Entries() {
+			if resp := send(t, address, call{"GET", "/orders", "", nil}); resp.StatusCode() != 200 {
+				t.Fatalf("%s during the split: %d %s", address, resp.StatusCode(), resp.Body())
+			}
+		}
+	}
+	if n := moves(); n != 0 {
+		t.Fatalf("%d owners moved or daemons were called down by a split between regions", n)
+	}
+	o.Rules.Set(nil)
+	_, err := f.Daemons[0].Versions().Submit(context.Background(), versions.Submission{
+		ID: "after", Base: 1, Patch: json.RawMessage(`{"organisations":{"club":{"weight":2}}}`),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the regions agree again", func() bool {
+		for _, d := range f.Daemons {
+			if d.ConfigVersion() != 2 || d.Members().LiveCount() != 4 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestAnswerTooLargeForAKey gives a request with a key an answer that is too
+// large to keep: its caller is told so, and it never runs again.
+func TestAnswerTooLargeForAKey(t *testing.T) {
+	f := start(t, options(2))
+	key := permit(t, f) + ".large"
+	for _, address := range f.Entries() {
+		resp := send(t, address, call{"POST", "/orders", "x", map[string]string{
+			front.KeyHeader: key, backendserver.SizeHeader: fmt.Sprint(9 << 20),
+		}})
+		if r := refusalOf(t, resp); r.Kind != refusal.AnswerTooLarge || r.Outcome != refusal.Unknown {
+			t.Fatalf("%s: %+v", address, r)
+		}
+	}
+	if _, keys := f.Runs(); keys[key] != 1 {
+		t.Fatalf("the key ran %d times", keys[key])
+	}
+}
+
+// TestIdleTrafficIsCounted lets a fleet idle: what the daemons say to each other
+// must show in their counters.
+func TestIdleTrafficIsCounted(t *testing.T) {
+	f := start(t, options(3))
+	until(t, "idle traffic is counted", func() bool {
+		for _, d := range f.Daemons {
+			sent, received := d.Traffic()
+			if sent == 0 || received == 0 || d.Counter("gossip.messages") == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
