--- a/core/shard/eject.go
+++ b/core/shard/eject.go
@@ -47,6 +47,9 @@
 	sharedSlow    = 0.5
 )
 
+// steerFrom is the suspicion from which a server gets less work.
+const steerFrom = 0.3
+
 // sharedWindow is how long after an ejection a server counts as sick when a
 // shared cause is looked for.
 const sharedWindow = 10 * time.Second
@@ -56,12 +59,14 @@
 	if m.State != pool.Active {
 		return
 	}
-	// Until the alarm, the server must go on getting work: evidence comes from
-	// nothing else.
-	suspicion := m.detector.Suspicion()
-	weight := max(evidenceWeight, int(float64(pool.FullWeight)*(1-suspicion)))
-	if suspicion >= 1 {
-		weight = leastWeight
+	weight := pool.FullWeight
+	if suspicion := m.detector.Suspicion(); suspicion > steerFrom {
+		// Until the alarm, the server must go on getting work: evidence comes
+		// from nothing else.
+		weight = max(evidenceWeight, int(float64(pool.FullWeight)*(1-suspicion)))
+		if suspicion >= 1 {
+			weight = leastWeight
+		}
 	}
 	if !m.rampFrom.IsZero() {
 		part := float64(now.Sub(m.rampFrom)) / float64(rampTime)
--- a/core/shard/finish.go
+++ b/core/shard/finish.go
@@ -81,6 +81,11 @@
 		return
 	}
 	s.options.Count(attemptCounters[end])
+	// A server that has just failed is no better than the others.
+	s.freed = nil
+	if end == Good {
+		s.freed = a.Server
+	}
 	s.learn(now, m, a, end)
 	s.adapt(now, m, a, end, busy)
 	s.judge(now, m)
--- a/core/shard/offer.go
+++ b/core/shard/offer.go
@@ -138,7 +138,6 @@
 	if m == nil {
 		return nil
 	}
-	s.freed = a.Server
 	if i := slices.Index(m.active, a); i >= 0 {
 		last := len(m.active) - 1
 		m.active[i] = m.active[last]
--- a/tools/sensitivity.sh
+++ b/tools/sensitivity.sh
@@ -45,6 +45,8 @@
 try core/detect/detect.go peerMargin 3
 try core/detect/detect.go tailFactor 2
 try core/detect/detect.go tailFactor 8
+try core/shard/eject.go steerFrom 0.15
+try core/shard/eject.go steerFrom 0.6
 try core/shard/eject.go evidenceWeight 250
 try core/shard/eject.go evidenceWeight 1000
 try core/shard/eject.go sharedFailing 0.075
