--- a/core/shard/tick.go
+++ b/core/shard/tick.go
@@ -185,13 +185,3 @@
 	s.steer(now, m)
 	s.pump(now)
 }
-
-// Attempts returns the attempts in flight on a server, for tests and views.
-func (s *Shard) Attempts(id ident.ServerID) []*admit.Attempt {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if m := s.member(id); m != nil {
-		return slices.Clone(m.active)
-	}
-	return nil
-}
