A test counts attempts that run beside each other safely; servers die on request

Cause: the race detector found the counter of TestAttempts, which two attempts write at once; the stand-in's admin endpoint could not kill a server.

--- a/io/dispatch/dispatch_test.go
+++ b/io/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,7 +58,7 @@
 
 // do sends one request whose attempts go by the steps, and counts them.
 func do(d *dispatch.Dispatcher, idempotent bool, steps ...step) (int, *refusal.Error) {
-	n := 0
+	var n atomic.Int32
 	next := make(chan step, len(steps))
 	for _, s := range steps {
 		next <- s
@@ -65,7 +66,7 @@
 	_, refused := d.Do(context.Background(), &dispatch.Request{
 		Service: "s", Rank: ident.Urgent, Weight: 1, Deadline: time.Now().Add(time.Second), Idempotent: idempotent,
 		Send: func(ctx context.Context, a *admit.Attempt) (*backend.Answer, shard.End) {
-			n++
+			n.Add(1)
 			a.Sent.Store(true)
 			s := <-next
 			select {
@@ -82,7 +83,7 @@
 			return nil, s.end
 		},
 	})
-	return n, refused
+	return int(n.Load()), refused
 }
 
 // told is what came of a request.
--- a/io/standin/backendserver/faults.go
+++ b/io/standin/backendserver/faults.go
@@ -18,6 +18,8 @@
 	Draining bool `json:"draining,omitempty"`
 	// FlapMillis switches the other faults on and off with this period.
 	FlapMillis int `json:"flapMillis,omitempty"`
+	// DeadMillis kills the server at once, for so long.
+	DeadMillis int `json:"deadMillis,omitempty"`
 	// CrashOn is a piece of a body that kills the server that runs it.
 	CrashOn string `json:"crashOn,omitempty"`
 	// CrashMillis is how long a crashed server stays dead.
--- a/io/standin/backendserver/server.go
+++ b/io/standin/backendserver/server.go
@@ -225,6 +225,10 @@
 		return
 	}
 	s.SetFaults(f)
+	if f.DeadMillis > 0 {
+		// The answer to this request goes down with the server.
+		go s.Kill(time.Duration(f.DeadMillis) * time.Millisecond)
+	}
 }
 
 // Health is the body of a health report.
