A request is never recycled while a late attempt may read it

Cause: the race detector in a clean clone: the listener gave the copy of a request back to the library's pool when the caller had its answer, while the attempt that a hedge outran could still read it. That attempt could have carried another caller's request.

Change: the copy is left to the collector.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -178,7 +178,6 @@
 		f.refuse(c, refused)
 		return nil
 	}
-	defer fasthttp.ReleaseRequest(call.HTTP)
 	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
 	w := newWatch(c.Context().Conn(), cancel)
 	reply := f.options.Router.Do(ctx, call)
@@ -299,7 +298,10 @@
 // outgoing copies the request as it goes to the server: all of it but what
 // belongs to one connection.
 func (f *Front) outgoing(c *fiber.Ctx) *fasthttp.Request {
-	req := fasthttp.AcquireRequest()
+	// The request is not taken from a pool: an attempt that a hedge outran may
+	// still read it after the caller has its answer, and must never see another
+	// caller's.
+	req := &fasthttp.Request{}
 	c.Request().CopyTo(req)
 	dropHopByHop(&req.Header)
 	req.Header.Del(fasthttp.HeaderExpect)
--- a/io/standin/fleet/chaos_test.go
+++ b/io/standin/fleet/chaos_test.go
@@ -320,3 +320,33 @@
 		return true
 	})
 }
+
+// TestHedgedRequestsNeverMix sends many hedged requests at once; a late attempt
+// must never carry another caller's request. Run with -race it also finds a
+// request that is given up while an attempt reads it.
+func TestHedgedRequestsNeverMix(t *testing.T) {
+	o := options(2)
+	o.Services[0].WorkMedian, o.Services[0].WorkSpread = time.Millisecond, 1
+	o.Services[0].Config.Retry = config.Retry{HedgeQuantile: 0.55, ExtraFraction: 1}
+	f := start(t, o)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	l := load.New(load.Options{Entries: f.Entries(), Seed: 1, Streams: []load.Stream{
+		{Name: "one", Rank: ident.Urgent, Method: "GET", Path: "/orders/one", Rate: 300, DeadlineMillis: 5000},
+		{Name: "two", Rank: ident.Urgent, Method: "GET", Path: "/orders/two", Rate: 300, DeadlineMillis: 5000},
+	}})
+	l.Run(ctx)
+	hedges := int64(0)
+	for _, d := range f.Daemons {
+		hedges += d.Counter("extra.hedge")
+	}
+	if hedges == 0 || len(l.Ledger().Wrong) > 0 {
+		t.Fatalf("%d hedges, wrong answers: %v", hedges, l.Ledger().Wrong)
+	}
+	ids, _ := f.Runs()
+	for id, n := range ids {
+		if n > 2 {
+			t.Fatalf("%s ran %d times, a hedge allows two", id, n)
+		}
+	}
+}
