--- a/cmd/bilberrymux/main.go
+++ b/cmd/bilberrymux/main.go
@@ -46,6 +46,7 @@
 func commands() []command {
 	return []command{
 		{"serve", "Run the daemon", serveHelp, &serveCommand{}},
+		{"edge", "Run the daemon on the users' platform", edgeHelp, &edgeCommand{}},
 		{"check", "Check a settings or configuration file", checkHelp, &checkCommand{}},
 		{"locate", "Ask a daemon where callers should connect", locateHelp, &locateCommand{}},
 		{"show", "Show the state of a daemon", showHelp, &showCommand{}},
--- /dev/null
+++ b/core/belief/pick.go
@@ -0,0 +1,179 @@
+package belief
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bilberrymux/core/ident"
+	"bilberrymux/core/roster"
+)
+
+// Ask describes the attempt that needs a server.
+type Ask struct {
+	Servers []*roster.Server
+	// Route groups requests whose times compare.
+	Route      string
+	Idempotent bool
+	// Last says that no further attempt may follow this one.
+	Last bool
+	// Tried lists the servers that the request was sent to already.
+	Tried []roster.Key
+}
+
+// The costs of a choice, in parts of the worth of one request.
+const (
+	// zoneCost and regionCost are those of bytes that leave the zone and the
+	// region, for a request that may not be repeated.
+	zoneCost   = 0.08
+	regionCost = 0.14
+	// Answers of idempotent requests are longer, and a failed attempt can be
+	// made good.
+	zoneCostIdempotent   = 0.2
+	regionCostIdempotent = 0.3
+	failCostIdempotent   = 0.3
+	// queueCost is that of waiting for a whole round of the server's slots.
+	queueCost = 0.3
+	// crowdCost is that of a server whose slots are all but one in use.
+	crowdCost = 0.03
+	// pathCost and shedCost keep work off servers out of reach or without room
+	// while there are others.
+	pathCost = 1.2
+	shedCost = 0.6
+	// coldCost is that of a server that has just started.
+	coldCost = 0.1
+	// overdueCost is that of each attempt which takes far too long.
+	overdueCost = 0.35
+	// probationCost keeps a second request off a server that is likely sick.
+	probationCost = 0.5
+	// slowCost is that of a server which takes e times as long as usual.
+	slowCost = 0.2
+	// trialGain is what the news about a near server is worth that nobody has
+	// tried for trialAfter.
+	trialGain  = 0.2
+	trialAfter = 3 * time.Second
+)
+
+// slowFrom is the logarithm of the slowness that is noise.
+const slowFrom = 0.4
+
+// overdueFactor is how many times the usual time makes an attempt overdue.
+const overdueFactor = 4
+
+// leastOverdue is the age below which no attempt is overdue.
+const leastOverdue = 250 * time.Millisecond
+
+// Pick chooses the server with the least expected cost and counts the attempt.
+// It returns nil where no server may take it.
+func (b *Book) Pick(now time.Time, ask *Ask) *Attempt {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var best *roster.Server
+	var bestState *state
+	least := math.Inf(1)
+	for _, server := range ask.Servers {
+		if server.Draining || slices.Contains(ask.Tried, server.Key()) {
+			continue
+		}
+		s := b.state(now, server.Key())
+		if s.misdirected {
+			continue
+		}
+		if cost := b.cost(now, ask, server, s); cost < least {
+			best, bestState, least = server, s, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	a := &Attempt{Server: *best, Risk: bestState.riskAt(now), Age: -1, Started: now, route: ask.Route}
+	if bestState.tried {
+		a.Age = now.Sub(bestState.at)
+	}
+	bestState.active = append(bestState.active, a)
+	return a
+}
+
+// cost is what the attempt is expected to lose at a server.
+func (b *Book) cost(now time.Time, ask *Ask, server *roster.Server, s *state) float64 {
+	risk := s.riskAt(now)
+	cost := risk
+	if ask.Idempotent && !ask.Last {
+		cost *= failCostIdempotent
+	}
+	far := b.distance(server.Zone, ask.Idempotent)
+	cost += far + b.loadCost(now, server, s, risk)
+	if far == 0 && len(s.active) == 0 && now.Sub(max3(s.at, s.listed)) > trialAfter {
+		cost -= trialGain
+	}
+	if now.Before(s.pathUntil) {
+		cost += pathCost
+	}
+	if now.Before(s.shedUntil) {
+		cost += shedCost
+	}
+	if server.Cold {
+		cost += coldCost
+	}
+	if s.slowness > slowFrom {
+		cost += slowCost * (s.slowness - slowFrom)
+	}
+	return cost
+}
+
+func max3(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// distance is the cost of the way to a zone.
+func (b *Book) distance(zone ident.ZoneID, idempotent bool) float64 {
+	near, far := zoneCost, regionCost
+	if idempotent {
+		near, far = zoneCostIdempotent, regionCostIdempotent
+	}
+	switch {
+	case zone == b.options.Zone:
+		return 0
+	case b.options.Regions[zone] == b.options.Regions[b.options.Zone]:
+		return near
+	}
+	return far
+}
+
+// loadCost is the cost of what the server has to do already.
+func (b *Book) loadCost(now time.Time, server *roster.Server, s *state, risk float64) float64 {
+	busy := len(s.active)
+	for vm, e := range s.elsewhere {
+		if now.Sub(e.at) > elsewhereLife {
+			delete(s.elsewhere, vm)
+			continue
+		}
+		busy += e.count
+	}
+	slots := max(1, server.Slots)
+	cost := crowdCost * float64(busy) / float64(slots)
+	if over := busy - slots + 1; over > 0 {
+		cost += queueCost * float64(over) / float64(slots)
+	}
+	if risk >= sickFrom/2 && busy > 0 {
+		cost += probationCost * risk
+	}
+	for _, a := range s.active {
+		if now.Sub(a.Started) > b.overdueAfter(a.route) {
+			cost += overdueCost
+		}
+	}
+	return cost
+}
+
+// overdueAfter returns the age from which an attempt of a route is overdue.
+func (b *Book) overdueAfter(route string) time.Duration {
+	q := b.usual[route]
+	if q == nil || !q.Warm() {
+		return time.Second
+	}
+	return max(leastOverdue, overdueFactor*q.Median())
+}
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -21,6 +21,7 @@
 	"bilberrymux/core/member"
 	"bilberrymux/core/poison"
 	"bilberrymux/core/shard"
+	"bilberrymux/io/exposition"
 	"bilberrymux/io/versions"
 )
 
@@ -218,3 +219,13 @@
 func changeContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), changeTimeout)
 }
+
+// prometheus writes all metrics in Prometheus' text form.
+func (a *Admin) prometheus(c *fiber.Ctx) error {
+	text, err := exposition.Text(a.options.Registry)
+	if err != nil {
+		return fmt.Errorf("admin: metrics: %w", err)
+	}
+	c.Set(fiber.HeaderContentType, exposition.ContentType)
+	return c.Send(text)
+}
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -105,6 +105,9 @@
 	// Connected is called once the exchange has a connection, with whether that
 	// was used before.
 	Connected func(reused bool)
+	// Foreign reports whether an answer belongs to another request. Such answers
+	// are skipped. It may be nil.
+	Foreign func(h *fasthttp.ResponseHeader) bool
 }
 
 // Do exchanges one request. The end tells how it went; the answer is nil unless
@@ -120,7 +123,7 @@
 	setDeadline(ctx, req)
 	stop := sc.watch(ctx)
 	resp := fasthttp.AcquireResponse()
-	if err := sc.exchange(req, resp); err != nil {
+	if err := sc.exchange(req, resp, o.Foreign); err != nil {
 		stop()
 		c.discard(sc)
 		fasthttp.ReleaseResponse(resp)
@@ -216,16 +219,49 @@
 
 // exchange writes the request and reads the head of the answer, and a stream
 // for its body.
-func (sc *serverConn) exchange(req *fasthttp.Request, resp *fasthttp.Response) error {
+func (sc *serverConn) exchange(req *fasthttp.Request, resp *fasthttp.Response, foreign func(*fasthttp.ResponseHeader) bool) error {
 	if err := req.Write(sc.bw); err != nil {
 		return err
 	}
 	if err := sc.bw.Flush(); err != nil {
 		return err
 	}
-	resp.StreamBody = true
-	resp.SkipBody = req.Header.IsHead()
-	return resp.ReadLimitBody(sc.br, 0)
+	for range maxForeign + 1 {
+		resp.StreamBody = true
+		resp.SkipBody = req.Header.IsHead()
+		if err := resp.ReadLimitBody(sc.br, 0); err != nil {
+			return err
+		}
+		if foreign == nil || !foreign(&resp.Header) {
+			return nil
+		}
+		sc.spoiled = true
+		if err := skipBody(resp); err != nil {
+			return err
+		}
+	}
+	return errForeign
+}
+
+// maxForeign bounds the answers to other requests that are skipped before the
+// own one.
+const maxForeign = 2
+
+// errForeign marks a connection that carries only other requests' answers.
+var errForeign = errors.New("backend: answers of other requests")
+
+// skipBody reads the rest of an answer that nobody wants.
+func skipBody(resp *fasthttp.Response) error {
+	if body := resp.BodyStream(); body != nil {
+		if _, err := io.Copy(io.Discard, body); err != nil {
+			return fmt.Errorf("backend: skipped answer: %w", err)
+		}
+		if err := resp.CloseBodyStream(); err != nil {
+			return fmt.Errorf("backend: skipped answer: %w", err)
+		}
+	}
+	resp.Reset()
+	return nil
 }
 
 // receive reads a short body whole and leaves a long one as a stream.
@@ -252,10 +288,11 @@
 
 // complete ends an exchange whose answer is whole.
 func (c *Client) complete(address string, sc *serverConn, resp *fasthttp.Response, stop func() bool) (*Answer, shard.End, error) {
-	closing := resp.ConnectionClose() || !stop()
+	closing := resp.ConnectionClose() || sc.spoiled || !stop()
 	if closing {
 		c.discard(sc)
 	} else {
+		sc.keep = keepTime(&resp.Header)
 		c.set(address).put(time.Now(), sc)
 	}
 	return &Answer{Response: resp}, endOf(resp), nil
@@ -283,7 +320,7 @@
 	answer := &Answer{Response: &fasthttp.Response{}, Streamed: true}
 	resp.Header.CopyTo(&answer.Response.Header)
 	body.close = func(whole bool) {
-		alive := stop() && whole && !resp.ConnectionClose()
+		alive := stop() && whole && !sc.spoiled && !resp.ConnectionClose()
 		end := shard.Good
 		switch {
 		case whole:
@@ -294,6 +331,7 @@
 		}
 		if alive {
 			_ = resp.CloseBodyStream()
+			sc.keep = keepTime(&resp.Header)
 			c.set(address).put(time.Now(), sc)
 		} else {
 			c.discard(sc)
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -7,10 +7,13 @@
 	"bufio"
 	"context"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 )
 
@@ -35,6 +38,28 @@
 	idleSince  time.Time
 	generation uint64
 	used       bool
+	// keep is how long the server leaves the connection open while it is idle.
+	keep time.Duration
+	// spoiled connections carried an answer to another request.
+	spoiled bool
+}
+
+// keepMargin is how much sooner than the server a connection is given up, so
+// that no request meets the server's close.
+const keepMargin = time.Second
+
+// keepTime reads how long the server keeps an idle connection.
+func keepTime(h *fasthttp.ResponseHeader) time.Duration {
+	for part := range strings.SplitSeq(string(h.Peek("Keep-Alive")), ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil {
+			return min(idleLimit, time.Duration(n)*time.Second-keepMargin)
+		}
+	}
+	return idleLimit
 }
 
 // idleSet is the idle connections to one address, the latest used last.
@@ -58,7 +83,7 @@
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleSince) <= limit && c.alive() {
+		if now.Sub(c.idleSince) <= min(limit, c.keep) && c.alive() {
 			return c
 		}
 		s.shut(c)
@@ -109,7 +134,7 @@
 	defer s.mu.Unlock()
 	kept := s.conns[:0]
 	for _, c := range s.conns {
-		if now.Sub(c.idleSince) > idleLimit {
+		if now.Sub(c.idleSince) > c.keep {
 			s.shut(c)
 			continue
 		}
--- /dev/null
+++ b/io/discovery/discovery.go
@@ -0,0 +1,314 @@
+// Package discovery keeps a daemon's view of the platform: the configuration in
+// force and the registered backend servers. It reads the store, or takes over
+// what peers have read, and publishes immutable snapshots.
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bilberrymux/core/catalog"
+	"bilberrymux/core/ident"
+	"bilberrymux/core/roster"
+	"bilberrymux/core/zone"
+	"bilberrymux/io/news"
+	"bilberrymux/platform"
+)
+
+// Options are the dependencies of a Keeper. Every function must be set.
+type Options struct {
+	Store *platform.Store
+	Zone  *zone.Table
+	Log   *logrus.Entry
+	// Configured is told of each version that came into force.
+	Configured func(c *catalog.Catalog)
+	// Listed is told of each changed list of servers and of the one before.
+	Listed func(now time.Time, r, before *roster.Roster)
+	Count  func(name string)
+}
+
+// Keeper is safe for concurrent use. Catalog and Roster are for the request
+// path and take no lock.
+type Keeper struct {
+	options Options
+	catalog atomic.Pointer[catalog.Catalog]
+	roster  atomic.Pointer[roster.Roster]
+
+	mu sync.Mutex
+	// config and servers hold what the store said, in its own bytes.
+	config  []byte
+	servers map[string][]byte
+	// configAt and serversAt are when the store last confirmed them.
+	configAt, serversAt time.Time
+	// confirmed is the version of the store at which the list was last read.
+	confirmed uint64
+	// feedFrom is the version of the store from which changes of the
+	// configuration are asked for.
+	feedFrom uint64
+	rejected map[string]bool
+	pause    time.Duration
+	nextRead time.Time
+	away     bool
+}
+
+// New returns a keeper without a configuration or servers.
+func New(o Options) *Keeper {
+	k := &Keeper{options: o, servers: map[string][]byte{}, rejected: map[string]bool{}}
+	empty, err := catalog.New(0, nil, nil, catalog.Limits{})
+	if err != nil {
+		panic(err)
+	}
+	k.catalog.Store(empty)
+	k.roster.Store(roster.New(0, nil))
+	return k
+}
+
+// Catalog returns the configuration in force; its version is 0 while none is
+// known.
+func (k *Keeper) Catalog() *catalog.Catalog { return k.catalog.Load() }
+
+// Roster returns the registered servers.
+func (k *Keeper) Roster() *roster.Roster { return k.roster.Load() }
+
+// applyConfig puts a configuration in force that is newer than the present one.
+func (k *Keeper) applyConfig(value []byte, at time.Time, source string) {
+	c, err := platform.DecodeConfig(value)
+	if err != nil {
+		k.options.Count("config.unreadable")
+		k.options.Log.WithError(err).WithField("source", source).Warn("configuration not taken")
+		return
+	}
+	k.mu.Lock()
+	before := k.catalog.Load()
+	if at.After(k.configAt) && c.Version >= before.Version {
+		k.configAt = at
+	}
+	if c.Version <= before.Version {
+		k.mu.Unlock()
+		return
+	}
+	k.config = value
+	k.catalog.Store(c)
+	k.mu.Unlock()
+	k.options.Log.WithFields(logrus.Fields{
+		"version": c.Version, "before": before.Version, "routes": len(c.Routes), "source": source,
+	}).Info("configuration in force")
+	k.options.Configured(c)
+}
+
+// applyServers takes over a list that was read at a version of the store.
+func (k *Keeper) applyServers(now time.Time, rows map[string][]byte, stamp uint64, at time.Time, source string) {
+	servers := make([]roster.Server, 0, len(rows))
+	for key, value := range rows {
+		s, err := platform.DecodeServer(key, value)
+		if err != nil {
+			k.reject(key, err)
+			continue
+		}
+		servers = append(servers, s)
+	}
+	k.mu.Lock()
+	if stamp < k.confirmed {
+		k.mu.Unlock()
+		return
+	}
+	k.confirmed = stamp
+	k.serversAt = at
+	before := k.roster.Load()
+	next := roster.New(stamp, servers)
+	if next.Same(before) {
+		k.mu.Unlock()
+		return
+	}
+	k.servers = rows
+	k.roster.Store(next)
+	k.mu.Unlock()
+	next.Compare(before, func(s *roster.Server, c roster.Change) {
+		k.options.Log.WithFields(logrus.Fields{
+			"server": s.ID, "service": s.Service, "change": c, "stamp": stamp, "source": source,
+		}).Info("backend server")
+	})
+	k.options.Listed(now, next, before)
+}
+
+// maxRejected bounds the rows that are remembered as unreadable.
+const maxRejected = 1000
+
+// reject tells of an unreadable row once.
+func (k *Keeper) reject(key string, err error) {
+	k.mu.Lock()
+	known := k.rejected[key]
+	if len(k.rejected) < maxRejected {
+		k.rejected[key] = true
+	}
+	k.mu.Unlock()
+	if known {
+		return
+	}
+	k.options.Count("servers.unreadable")
+	k.options.Log.WithError(err).WithField("server", key).Warn("row names no server")
+}
+
+// ages returns how long ago the store confirmed the configuration and the list.
+func (k *Keeper) ages(now time.Time) (config, servers time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return age(now, k.configAt), age(now, k.serversAt)
+}
+
+// age returns the time since a moment; what never was is very old.
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return time.Hour
+	}
+	return max(0, now.Sub(at))
+}
+
+// Describe puts the versions of this daemon into a message.
+func (k *Keeper) Describe(now time.Time, m *news.Message) {
+	config, servers := k.ages(now)
+	m.Version = k.Catalog().Version
+	m.VersionAgeMillis = uint32(config.Milliseconds())
+	m.Stamp = k.Roster().Stamp
+	m.StampAgeMillis = uint32(servers.Milliseconds())
+}
+
+// Lacks compares a message with what is known here. It returns what to ask the
+// sender for, or nil.
+func (k *Keeper) Lacks(now time.Time, m *news.Message) *news.StateRequest {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	version, stamp := k.catalog.Load().Version, k.roster.Load().Stamp
+	if m.Version == version {
+		k.configAt = later(k.configAt, now.Add(-millis(m.VersionAgeMillis)))
+	}
+	if m.Stamp == stamp && stamp > 0 {
+		k.serversAt = later(k.serversAt, now.Add(-millis(m.StampAgeMillis)))
+	}
+	if m.Version <= version && m.Stamp <= k.confirmed {
+		return nil
+	}
+	return &news.StateRequest{Version: version, Stamp: k.confirmed}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func millis(n uint32) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// Answer returns what a peer lacks.
+func (k *Keeper) Answer(r *news.StateRequest) *news.State {
+	now := time.Now()
+	config, servers := k.ages(now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := &news.State{
+		Version: k.catalog.Load().Version, VersionAgeMillis: uint32(config.Milliseconds()),
+		Stamp: k.roster.Load().Stamp, StampAgeMillis: uint32(servers.Milliseconds()),
+	}
+	if s.Version > r.Version {
+		s.Config = k.config
+	}
+	if s.Stamp > r.Stamp {
+		s.Servers = maps.Clone(k.servers)
+	}
+	return s
+}
+
+// Take takes over the state of a peer.
+func (k *Keeper) Take(now time.Time, s *news.State, from ident.VMID) {
+	source := "peer " + string(from)
+	if len(s.Config) > 0 {
+		k.applyConfig(s.Config, now.Add(-millis(s.VersionAgeMillis)), source)
+	}
+	if len(s.Servers) > 0 {
+		k.applyServers(now, s.Servers, s.Stamp, now.Add(-millis(s.StampAgeMillis)), source)
+	}
+}
+
+// callTimeout bounds one call of the store.
+const callTimeout = 700 * time.Millisecond
+
+// ReadServers reads the list from the store.
+func (k *Keeper) ReadServers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, version, err := k.options.Store.Rows(ctx, platform.TableServers)
+	if err != nil {
+		return fmt.Errorf("discovery: servers: %w", err)
+	}
+	values := make(map[string][]byte, len(rows))
+	for _, r := range rows {
+		values[r.Key] = r.Value
+	}
+	now := time.Now()
+	k.applyServers(now, values, version, now, "store")
+	return nil
+}
+
+// ReadConfig reads the configuration from the store.
+func (k *Keeper) ReadConfig(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, version, err := k.options.Store.Rows(ctx, platform.TableConfig)
+	if err != nil {
+		return fmt.Errorf("discovery: configuration: %w", err)
+	}
+	k.takeConfig(rows, version)
+	return nil
+}
+
+func (k *Keeper) takeConfig(rows []platform.Row, version uint64) {
+	now := time.Now()
+	for _, r := range rows {
+		if r.Key == platform.KeyConfig && !r.Deleted {
+			k.applyConfig(r.Value, now, "store")
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.configAt = later(k.configAt, now)
+	k.feedFrom = max(k.feedFrom, version)
+}
+
+// The wait for changes of the configuration.
+const (
+	feedWait = 20 * time.Second
+	// feedSlack is how much later than asked for the store may answer.
+	feedSlack = 2 * time.Second
+)
+
+// followConfig waits for one change of the configuration.
+func (k *Keeper) followConfig(ctx context.Context) error {
+	k.mu.Lock()
+	from := k.feedFrom
+	k.mu.Unlock()
+	if from == 0 {
+		return k.ReadConfig(ctx)
+	}
+	waiting, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	defer cancel()
+	rows, version, err := k.options.Store.Feed(waiting, platform.TableConfig, from, feedWait)
+	if errors.Is(err, platform.ErrForgotten) {
+		k.options.Log.WithField("version", from).Warn("store forgot its history, reading again")
+		return k.ReadConfig(ctx)
+	}
+	if err != nil {
+		return fmt.Errorf("discovery: feed: %w", err)
+	}
+	k.takeConfig(rows, version)
+	return nil
+}
--- /dev/null
+++ b/io/discovery/run.go
@@ -0,0 +1,81 @@
+package discovery
+
+import (
+	"context"
+	"time"
+
+	"bilberrymux/io/loop"
+)
+
+// The pace of reading.
+const (
+	// readPeriod is how old the list of servers may become before the first
+	// reader of a zone reads it again.
+	readPeriod = 700 * time.Millisecond
+	// readSlack is how much longer the second reader waits, and readStep how
+	// much longer each further one.
+	readSlack = 500 * time.Millisecond
+	readStep  = 200 * time.Millisecond
+	// readTick is how often the age is looked at.
+	readTick = 50 * time.Millisecond
+	// A failed read is tried again after leastPause, doubled up to mostPause.
+	leastPause = 300 * time.Millisecond
+	mostPause  = 3 * time.Second
+)
+
+// readerKey orders the daemons of a zone as readers.
+const readerKey = "reader"
+
+// readAfter returns the age of the list from which the daemon of a rank reads.
+func readAfter(rank int) time.Duration {
+	if rank == 0 {
+		return readPeriod
+	}
+	return readPeriod + readSlack + time.Duration(rank-1)*readStep
+}
+
+// FollowServers reads the list whenever it is this daemon's turn, until the
+// context ends.
+func (k *Keeper) FollowServers(ctx context.Context) {
+	loop.Every(ctx, readTick, func(now time.Time) {
+		_, servers := k.ages(now)
+		if servers < readAfter(k.options.Zone.Rank(readerKey)) || now.Before(k.nextRead) {
+			return
+		}
+		k.outcome(k.ReadServers(ctx))
+	})
+}
+
+// outcome paces the reads by how the last one went.
+func (k *Keeper) outcome(err error) {
+	if err == nil {
+		if k.away {
+			k.options.Log.Info("store regained")
+		}
+		k.away, k.pause, k.nextRead = false, 0, time.Time{}
+		return
+	}
+	if !k.away {
+		k.options.Log.WithError(err).Warn("store lost")
+	}
+	k.away = true
+	k.pause = min(max(2*k.pause, leastPause), mostPause)
+	k.nextRead = time.Now().Add(k.pause)
+}
+
+// FollowConfig keeps the configuration up to date until the context ends.
+func (k *Keeper) FollowConfig(ctx context.Context) {
+	pause := leastPause
+	for ctx.Err() == nil {
+		if err := k.followConfig(ctx); err == nil {
+			pause = leastPause
+			continue
+		} else if ctx.Err() == nil {
+			k.options.Log.WithError(err).Warn("configuration not followed")
+		}
+		if !loop.Sleep(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, mostPause)
+	}
+}
--- /dev/null
+++ b/io/edge/edge.go
@@ -0,0 +1,222 @@
+// Package edge is the daemon on the users' platform: it answers callers, brings
+// each request to a backend server, and shares with the other daemons of its
+// availability zone what it learns about servers.
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"bilberrymux/core/belief"
+	"bilberrymux/core/budget"
+	"bilberrymux/core/ident"
+	"bilberrymux/core/poison"
+	"bilberrymux/core/settings"
+	"bilberrymux/core/zone"
+	"bilberrymux/io/backend"
+	"bilberrymux/io/discovery"
+	"bilberrymux/io/netseam"
+	"bilberrymux/io/news"
+	"bilberrymux/platform"
+)
+
+// Options are the dependencies of an Edge.
+type Options struct {
+	Settings *settings.Edge
+	Log      *logrus.Logger
+	// Rules apply to the connections of this process; nil has none.
+	Rules *netseam.Rules
+	// LogDropped returns the number of log lines that were dropped; it may be
+	// nil.
+	LogDropped func() int64
+}
+
+// Edge is one daemon. It is safe for concurrent use.
+type Edge struct {
+	options  Options
+	settings *settings.Edge
+	log      *logrus.Entry
+	registry metrics.Registry
+	counters sync.Map
+
+	members *zone.Table
+	keeper  *discovery.Keeper
+	book    *belief.Book
+	budget  *budget.Budget
+	poison  *poison.List
+	backend *backend.Client
+	store   *platform.Store
+	post    *news.Post
+	front   *front
+	service *service
+
+	// turns counts the requests of each route, for its parts.
+	turns sync.Map
+	// urgentNews asks for a datagram before the next period.
+	urgentNews chan struct{}
+	crashes    crashLog
+	fetching   atomic.Bool
+	stopping   atomic.Bool
+	inFlight   atomic.Int64
+	requests   atomic.Int64
+
+	background conc.WaitGroup
+	tasks      conc.WaitGroup
+	cancel     context.CancelFunc
+	closers    []func() error
+	failed     chan error
+}
+
+// memoryShare is the part of the VM's memory from which the garbage collector
+// works harder.
+const memoryShare = 0.6
+
+// The timeouts of dialling.
+const (
+	serverDialTimeout = 300 * time.Millisecond
+	peerDialTimeout   = 500 * time.Millisecond
+	storeDialTimeout  = time.Second
+)
+
+// New returns a daemon that Start brings up.
+func New(o Options) *Edge {
+	s := o.Settings
+	e := &Edge{
+		options: o, settings: s, registry: metrics.NewRegistry(),
+		log:    o.Log.WithField("vm", s.VM),
+		poison: poison.New(), urgentNews: make(chan struct{}, 1), failed: make(chan error, 4),
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	e.members = zone.New(zone.Member{
+		VM: s.VM, Incarnation: ident.Incarnation(string(s.VM) + "~" + uuid.NewString()[:8]), Zone: s.Zone,
+		PeerAddress: e.peerAddress(), CallerAddress: s.CallerAddress, Started: time.Now().UnixMicro(),
+		Capacity: s.CPUShare,
+	})
+	e.book = belief.New(belief.Options{Zone: s.Zone, Regions: s.Zones, Changed: e.beliefChanged})
+	e.budget = budget.New(budget.Options{Ratio: s.Bounds.FurtherRatio * budgetPart, Reserve: 1})
+	e.backend = backend.New(e.dialer(serverDialTimeout))
+	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string) {
+		e.count("store." + call + "." + result)
+	})
+	e.keeper = discovery.New(discovery.Options{
+		Store: e.store, Zone: e.members, Log: e.log,
+		Configured: e.configured, Listed: e.listed, Count: e.count,
+	})
+	e.front = newFront(e)
+	e.service = newService(e)
+	return e
+}
+
+func (e *Edge) dialer(timeout time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
+	return (&netseam.Dialer{Self: string(e.settings.VM), Rules: e.options.Rules, Timeout: timeout}).Dial
+}
+
+func (e *Edge) peerAddress() string {
+	return net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPorts[0]))
+}
+
+// Start opens the listeners and begins to learn. The daemon is ready once it
+// knows a configuration.
+func (e *Edge) Start(ctx context.Context) error {
+	ctx, e.cancel = context.WithCancel(ctx)
+	peers, err := net.Listen("tcp", e.peerAddress())
+	if err != nil {
+		return fmt.Errorf("edge: %w", err)
+	}
+	datagrams, err := net.ListenPacket("udp", e.peerAddress())
+	if err != nil {
+		return fmt.Errorf("edge: %w", err)
+	}
+	e.closers = append(e.closers, peers.Close, datagrams.Close)
+	e.post = news.New(news.Options{
+		Datagrams: datagrams, Dial: e.dialer(peerDialTimeout), Heard: e.heard, Answer: e.answerPeer, Count: e.count,
+	})
+	e.background.Go(e.post.Receive)
+	e.background.Go(func() { e.serving("peers", e.post.Serve(ctx, peers)) })
+	if err := e.listen(); err != nil {
+		return err
+	}
+	e.background.Go(func() { e.join(ctx) })
+	e.background.Go(func() { e.gossip(ctx) })
+	e.log.WithFields(logrus.Fields{
+		"incarnation": e.members.Self().Incarnation, "zone": e.settings.Zone, "callers": e.settings.CallerAddress,
+	}).Info("started")
+	return nil
+}
+
+// serving reports a listener that ended while the daemon did not stop.
+func (e *Edge) serving(name string, err error) {
+	if err == nil || e.stopping.Load() || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	e.log.WithError(err).WithField("listener", name).Error("listener failed")
+	select {
+	case e.failed <- fmt.Errorf("edge: %s: %w", name, err):
+	default:
+	}
+}
+
+// Failed returns the channel on which a listener's failure is reported.
+func (e *Edge) Failed() <-chan error { return e.failed }
+
+// count adds one to a counter.
+func (e *Edge) count(name string) {
+	c, ok := e.counters.Load(name)
+	if !ok {
+		c, _ = e.counters.LoadOrStore(name, metrics.GetOrRegisterCounter(name, e.registry))
+	}
+	c.(metrics.Counter).Inc(1)
+}
+
+// latencySamples is the size of the sample of each histogram.
+const latencySamples = 256
+
+// observe records a time in microseconds.
+func (e *Edge) observe(name string, took time.Duration) {
+	h := e.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(latencySamples))
+	})
+	h.(metrics.Histogram).Update(took.Microseconds())
+}
+
+// ready reports whether callers can be served.
+func (e *Edge) ready() bool {
+	return !e.stopping.Load() && e.keeper.Catalog().Version > 0 && e.keeper.Roster().Stamp > 0
+}
+
+// turn numbers the requests of a route.
+func (e *Edge) turn(route string) uint64 {
+	n, ok := e.turns.Load(route)
+	if !ok {
+		n, _ = e.turns.LoadOrStore(route, new(atomic.Uint64))
+	}
+	return n.(*atomic.Uint64).Add(1)
+}
+
+// The share of the budget of further attempts that one daemon may use.
+const (
+	// budgetPart leaves room for requests that are counted elsewhere.
+	budgetPart = 0.9
+	// reservePart is the part of the reserve that is handed out.
+	reservePart = 0.7
+)
+
+// reserve returns this daemon's part of the reserve of further attempts: the
+// daemons that callers of a host are sent to share it.
+func (e *Edge) reserve() float64 {
+	dispatchers := ownersPerHost * len(e.settings.Zones)
+	return math.Max(1, reservePart*e.settings.Bounds.FurtherReserve/float64(dispatchers))
+}
--- /dev/null
+++ b/io/edge/forward.go
@@ -0,0 +1,310 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"bilberrymux/core/belief"
+	"bilberrymux/core/ident"
+	"bilberrymux/core/refusal"
+	"bilberrymux/core/roster"
+	"bilberrymux/core/shard"
+	"bilberrymux/io/backend"
+	"bilberrymux/platform"
+)
+
+// reply is a server's answer for the caller.
+type reply struct {
+	response *fasthttp.Response
+	server   ident.ServerID
+	// sends counts the attempts that reached a server.
+	sends int
+	// risk and evidenceAge are what was believed about the server when it was
+	// picked.
+	risk        float64
+	evidenceAge time.Duration
+}
+
+// maxUnreached bounds the servers that are dialled in vain for one request.
+const maxUnreached = 4
+
+// leastHedge is the least time after which a second attempt is started beside a
+// late one.
+const leastHedge = 100 * time.Millisecond
+
+// run is the state of one request on its way.
+type run struct {
+	edge *Edge
+	call *call
+	// tried lists the servers that were picked.
+	tried []roster.Key
+	// sends counts attempts that reached a server, ran those that may have run.
+	sends, ran int
+	unreached  int
+	// failure is a server's error answer, which is handed on for want of better.
+	failure *reply
+	last    refusal.Kind
+	results chan ended
+	waiting int
+	cancels map[*belief.Attempt]context.CancelFunc
+}
+
+// ended is the end of one attempt.
+type ended struct {
+	attempt *belief.Attempt
+	outcome belief.Outcome
+	answer  *backend.Answer
+	err     error
+}
+
+// forward brings a request to a server and returns the answer or a refusal.
+func (e *Edge) forward(ctx context.Context, k *call) (*reply, *refusal.Error) {
+	if e.poison.Blocked(time.Now(), k.service, k.fingerprint) {
+		return nil, refusal.New(refusal.Poison, "")
+	}
+	e.budget.Earn(k.service)
+	r := &run{
+		edge: e, call: k, last: refusal.NoServer,
+		results: make(chan ended, maxUnreached+k.route.Attempts+1), cancels: map[*belief.Attempt]context.CancelFunc{},
+	}
+	answer, refused := r.drive(ctx)
+	for _, cancel := range r.cancels {
+		cancel()
+	}
+	return answer, refused
+}
+
+// drive starts attempts until one has an answer, or no further one may be made.
+func (r *run) drive(ctx context.Context) (*reply, *refusal.Error) {
+	if !r.start(ctx) {
+		return nil, r.refuse(refusal.NoServer)
+	}
+	hedge := time.NewTimer(r.hedgeAfter())
+	defer hedge.Stop()
+	for r.waiting > 0 {
+		select {
+		case end := <-r.results:
+			r.waiting--
+			if answer := r.settle(end); answer != nil {
+				return answer, nil
+			}
+			if r.waiting == 0 && r.mayRepeat(end) {
+				r.start(ctx)
+			}
+		case <-hedge.C:
+			if r.mayHedge() && r.start(ctx) {
+				r.edge.count("further.late")
+			}
+		case <-ctx.Done():
+			return nil, r.refuse(r.timedOut(ctx))
+		}
+	}
+	if r.failure != nil {
+		return r.failure, nil
+	}
+	return nil, r.refuse(r.last)
+}
+
+func (r *run) timedOut(ctx context.Context) refusal.Kind {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return refusal.CallerGone
+	case r.waiting > 0 || r.ran > 0:
+		return refusal.DeadlineRunning
+	}
+	return refusal.DeadlineInQueue
+}
+
+// refuse builds a refusal that owns up to attempts which may have run.
+func (r *run) refuse(kind refusal.Kind) *refusal.Error {
+	e := refusal.New(kind, "%d servers tried", len(r.tried))
+	e.Ran = r.ran > 0 || r.waiting > 0
+	return e
+}
+
+// start sends the request to one more server. It reports whether there was one.
+func (r *run) start(ctx context.Context) bool {
+	e, k := r.edge, r.call
+	a := e.book.Pick(time.Now(), &belief.Ask{
+		Servers: e.keeper.Roster().Of(k.service), Route: k.route.Name, Idempotent: k.route.Idempotent,
+		Last: r.sends+1 >= k.route.Attempts, Tried: r.tried,
+	})
+	if a == nil {
+		return false
+	}
+	r.tried = append(r.tried, a.Server.Key())
+	r.waiting++
+	child, cancel := context.WithCancel(ctx)
+	r.cancels[a] = cancel
+	go func() { r.results <- e.attempt(child, k, a) }()
+	return true
+}
+
+// settle takes the end of an attempt and returns the answer for the caller, if
+// it brought one.
+func (r *run) settle(end ended) *reply {
+	r.account(end)
+	if end.answer == nil {
+		return nil
+	}
+	answer := &reply{
+		response: end.answer.Response, server: end.attempt.Server.ID, sends: r.sends,
+		risk: end.attempt.Risk, evidenceAge: end.attempt.Age,
+	}
+	switch end.outcome {
+	case belief.Good:
+		return answer
+	case belief.Failed:
+		r.failure = answer
+		if r.waiting == 0 && !r.mayRepeat(end) {
+			return answer
+		}
+	default:
+	}
+	return nil
+}
+
+// account counts what an attempt did.
+func (r *run) account(end ended) {
+	switch end.outcome {
+	case belief.Unreachable:
+		r.unreached++
+		r.last = refusal.ServersUnreachable
+	case belief.Shed, belief.Misdirected:
+		r.sends++
+		r.last = refusal.ServersShed
+	case belief.Good, belief.Failed, belief.Broken, belief.Silent, belief.Neutral:
+		r.sends++
+		r.ran++
+		r.last = refusal.ServerFailed
+	}
+}
+
+// mayRepeat decides whether the request goes to one more server after an
+// attempt failed.
+func (r *run) mayRepeat(end ended) bool {
+	if end.outcome == belief.Unreachable {
+		if r.unreached < maxUnreached {
+			r.edge.count("further.unreached")
+			return true
+		}
+		return false
+	}
+	if r.ran > 0 && !r.call.route.Idempotent {
+		return false
+	}
+	if r.sends >= r.call.route.Attempts+1 || r.ran >= r.call.route.Attempts {
+		return false
+	}
+	if !r.edge.budget.Spend(r.call.service) {
+		r.edge.count("further.noBudget")
+		return false
+	}
+	r.edge.count("further." + string(end.outcome))
+	return true
+}
+
+// hedgeAfter returns after what time a second attempt is started beside the
+// first.
+func (r *run) hedgeAfter() time.Duration {
+	late, known := r.edge.book.Late(r.call.route.Name)
+	if !known || !r.call.route.Idempotent {
+		return r.call.route.Timeout
+	}
+	return max(leastHedge, late)
+}
+
+// mayHedge decides whether a second attempt is started beside a late one.
+func (r *run) mayHedge() bool {
+	if !r.call.route.Idempotent || r.waiting != 1 || r.sends+r.waiting >= r.call.route.Attempts {
+		return false
+	}
+	return r.edge.budget.Spend(r.call.service)
+}
+
+// attempt sends the request to one server and records what that says about it.
+func (e *Edge) attempt(ctx context.Context, k *call, a *belief.Attempt) ended {
+	req := &fasthttp.Request{}
+	k.request.CopyTo(req)
+	req.UseHostHeader = true
+	left := time.Until(k.deadline)
+	platform.Address(&req.Header, a.Server.ID, left)
+	start := time.Now()
+	answer, end, err := e.backend.Do(ctx, a.Server.Address, req, backend.Options{
+		Careful: !k.route.Idempotent,
+		Foreign: func(h *fasthttp.ResponseHeader) bool { return platform.Judge(h, k.id) == platform.Foreign },
+	})
+	took := time.Since(start)
+	outcome := outcomeOf(answer, end, k.id)
+	e.book.End(time.Now(), a, outcome, took)
+	e.noted(k, a, outcome, took, err)
+	if outcome == belief.Broken {
+		e.tasks.Go(func() { e.checkCrash(k, a) })
+	}
+	if outcome != belief.Good && outcome != belief.Failed {
+		answer = nil
+	}
+	return ended{a, outcome, answer, err}
+}
+
+// noted logs the end of an attempt that did not bring a good answer.
+func (e *Edge) noted(k *call, a *belief.Attempt, o belief.Outcome, took time.Duration, err error) {
+	e.count("attempt." + string(o))
+	if o == belief.Good {
+		return
+	}
+	fields := logrus.Fields{
+		"request": k.id, "route": k.route.Name, "service": k.service, "server": a.Server.ID, "outcome": o,
+		"risk": a.Risk, "evidenceAgeMillis": a.Age.Milliseconds(), "tookMillis": took.Milliseconds(),
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	e.log.WithFields(fields).Warn("attempt failed")
+}
+
+// outcomeOf reads the end of an exchange as evidence.
+func outcomeOf(answer *backend.Answer, end shard.End, requestID string) belief.Outcome {
+	if answer == nil {
+		switch end {
+		case shard.DialFailed:
+			return belief.Unreachable
+		case shard.Cancelled:
+			return belief.Neutral
+		case shard.NoAnswer, shard.SilentConnection:
+			return belief.Silent
+		default:
+			return belief.Broken
+		}
+	}
+	switch platform.Judge(&answer.Response.Header, requestID) {
+	case platform.Misdirected:
+		return belief.Misdirected
+	case platform.Refused:
+		return belief.Shed
+	case platform.Unsigned, platform.Foreign:
+		return belief.Broken
+	}
+	if answer.Response.StatusCode() >= fasthttp.StatusInternalServerError {
+		return belief.Failed
+	}
+	return belief.Good
+}
+
+// fingerprintOf hashes what makes two requests the same work.
+func fingerprintOf(req *fasthttp.Request) ident.Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(req.Header.Method())
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(req.Header.Host())
+	_, _ = d.Write(req.Header.RequestURI())
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(req.Body())
+	return ident.Fingerprint(d.Sum64())
+}
--- /dev/null
+++ b/io/edge/gossip.go
@@ -0,0 +1,340 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bilberrymux/core/belief"
+	"bilberrymux/core/catalog"
+	"bilberrymux/core/ident"
+	"bilberrymux/core/roster"
+	"bilberrymux/core/zone"
+	"bilberrymux/io/loop"
+	"bilberrymux/io/news"
+)
+
+// The pace and size of news.
+const (
+	// newsPeriod is the longest time between two datagrams to a peer.
+	newsPeriod = 300 * time.Millisecond
+	// reportAge is how old evidence may be to be told again.
+	reportAge = 700 * time.Millisecond
+	// maxReports bounds the servers of one datagram.
+	maxReports = 40
+	// crashLife is how long a crash is told of.
+	crashLife = time.Second
+	// gateways is the number of daemons in each other zone that are told of a
+	// server's change.
+	gateways = 2
+)
+
+// tableDaemons is the table of the daemons' own rows.
+const tableDaemons = "daemons"
+
+// joinTimeout bounds one call of the store at the start.
+const joinTimeout = time.Second
+
+// joinPause is the pause between two attempts to reach the store at the start.
+const joinPause = 500 * time.Millisecond
+
+// join makes this daemon known and learns the others, the configuration and the
+// servers, from the store or, while it is away, from daemons at the seed
+// addresses.
+func (e *Edge) join(ctx context.Context) {
+	e.sayHello(e.seedAddresses())
+	e.background.Go(func() { e.keeper.FollowConfig(ctx) })
+	e.background.Go(func() { e.keeper.FollowServers(ctx) })
+	for ctx.Err() == nil {
+		err := e.register(ctx)
+		if err == nil {
+			return
+		}
+		e.log.WithError(err).Warn("daemon not registered")
+		if !loop.Sleep(ctx, joinPause) {
+			return
+		}
+	}
+}
+
+// register writes the own row and reads those of the others.
+func (e *Edge) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	self := e.members.Self()
+	value, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	if err := e.store.Put(ctx, tableDaemons, string(self.VM), value); err != nil {
+		return err
+	}
+	rows, _, err := e.store.Rows(ctx, tableDaemons)
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		var m zone.Member
+		if err := json.Unmarshal(r.Value, &m); err != nil || m.VM == "" {
+			e.log.WithField("row", r.Key).Warn("row names no daemon")
+			continue
+		}
+		e.members.Learn(m)
+	}
+	e.sayHello(append(addresses(e.members.Peers()), addresses(e.members.Gateways(gateways))...))
+	return nil
+}
+
+// sayHello tells daemons that this one has started.
+func (e *Edge) sayHello(to []string) {
+	m := e.message(time.Now())
+	m.Hello = true
+	e.post.Send(m, to)
+}
+
+// seedAddresses returns where the daemons of the seeds listen for peers.
+func (e *Edge) seedAddresses() []string {
+	var out []string
+	for _, s := range e.settings.Seeds {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil || a.Addr().String() == e.settings.IP {
+			continue
+		}
+		out = append(out, net.JoinHostPort(a.Addr().String(), strconv.Itoa(e.settings.PeerPorts[0])))
+	}
+	return out
+}
+
+func addresses(members []zone.Member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.PeerAddress)
+	}
+	return out
+}
+
+// message describes this daemon.
+func (e *Edge) message(now time.Time) *news.Message {
+	e.members.SetReady(e.ready())
+	m := &news.Message{From: e.members.Self(), Stopping: e.stopping.Load(), Crashes: e.crashes.recent(now)}
+	e.keeper.Describe(now, m)
+	return m
+}
+
+// gossip tells the zone about this daemon and its servers until the context
+// ends.
+func (e *Edge) gossip(ctx context.Context) {
+	ticker := time.NewTicker(newsPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.urgentNews:
+		case <-ticker.C:
+		}
+		e.tellZone(time.Now())
+	}
+}
+
+func (e *Edge) tellZone(now time.Time) {
+	for _, m := range e.members.Expire(now) {
+		e.log.WithFields(logrus.Fields{"daemon": m.VM, "silentMillis": zone.SilentAfter.Milliseconds()}).Warn("daemon down")
+	}
+	m := e.message(now)
+	m.Reports = e.book.Reports(now, reportAge, maxReports)
+	e.post.Send(m, addresses(e.members.Peers()))
+	e.budget.SetReserve(e.reserve())
+	e.accrue()
+}
+
+// accrue hands out this daemon's part of the reserve over one window.
+func (e *Edge) accrue() {
+	periods := float64(e.settings.Bounds.FurtherWindow.Duration()) / float64(newsPeriod)
+	for id := range e.keeper.Catalog().Services {
+		e.budget.Accrue(id, e.reserve()/periods)
+	}
+}
+
+// hurry asks for news to the zone before the next period.
+func (e *Edge) hurry() {
+	select {
+	case e.urgentNews <- struct{}{}:
+	default:
+	}
+}
+
+// beliefChanged spreads that a server turned sick or sound.
+func (e *Edge) beliefChanged(s roster.Server, risk float64, o belief.Outcome) {
+	e.log.WithFields(logrus.Fields{
+		"server": s.ID, "service": s.Service, "risk": risk, "outcome": o,
+	}).Info("belief about a server changed")
+	e.count("belief.changed")
+	e.hurry()
+	e.tasks.Go(func() { e.tellOthers(s.Key()) })
+}
+
+// tellOthers tells the other zones of one server.
+func (e *Edge) tellOthers(key roster.Key) {
+	now := time.Now()
+	m := e.message(now)
+	m.Relay = true
+	m.Reports = []belief.Report{e.book.Report(now, key)}
+	m.Reports[0].Active = 0
+	e.post.Send(m, addresses(e.members.Gateways(gateways)))
+}
+
+// heard takes in one message.
+func (e *Edge) heard(m *news.Message) {
+	now := time.Now()
+	if m.From.VM == e.settings.VM {
+		return
+	}
+	own := m.From.Zone == e.settings.Zone
+	if m.Stopping {
+		m.From.Ready = false
+	}
+	if e.members.Hear(now, m.From) && own {
+		e.log.WithFields(logrus.Fields{"daemon": m.From.VM, "incarnation": m.From.Incarnation}).Info("daemon up")
+	}
+	from := m.From.VM
+	if !own {
+		from = ""
+	}
+	for _, r := range m.Reports {
+		if e.book.Hear(now, from, r) {
+			e.log.WithFields(logrus.Fields{
+				"server": r.ID, "risk": r.Risk, "from": m.From.VM, "ageMillis": r.AgeMillis,
+			}).Info("belief about a server heard")
+		}
+	}
+	e.takeCrashes(now, m.Crashes)
+	if m.Relay {
+		e.relay(m)
+	}
+	if m.Hello {
+		e.post.Send(e.message(now), []string{m.From.PeerAddress})
+	}
+	if lacks := e.keeper.Lacks(now, m); lacks != nil {
+		e.fetch(m.From, lacks)
+	}
+}
+
+// relay passes news from another zone on to the own one.
+func (e *Edge) relay(m *news.Message) {
+	passed := *m
+	passed.Relay, passed.Hello = false, false
+	e.post.Send(&passed, addresses(e.members.Live()))
+}
+
+// fetchTimeout bounds the fetching of a state from a peer.
+const fetchTimeout = time.Second
+
+// fetch takes over what a peer knows better, one fetch at a time.
+func (e *Edge) fetch(from zone.Member, r *news.StateRequest) {
+	if !e.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	e.tasks.Go(func() {
+		defer e.fetching.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+		defer cancel()
+		s, err := e.post.Fetch(ctx, from.PeerAddress, r)
+		if err != nil {
+			e.count("news.unfetched")
+			e.log.WithError(err).WithField("daemon", from.VM).Warn("state not fetched")
+			return
+		}
+		for _, m := range s.Members {
+			e.members.Learn(m)
+		}
+		e.keeper.Take(time.Now(), s, from.VM)
+	})
+}
+
+// answerPeer returns what a peer lacks.
+func (e *Edge) answerPeer(r *news.StateRequest) *news.State {
+	s := e.keeper.Answer(r)
+	s.Members = append(e.members.All(), e.members.Self())
+	return s
+}
+
+// configured is told of each version that came into force here.
+func (e *Edge) configured(*catalog.Catalog) {
+	e.hurry()
+}
+
+// listed is told of each changed list of servers.
+func (e *Edge) listed(now time.Time, r, before *roster.Roster) {
+	e.book.Sync(now, r)
+	listed := map[string]bool{}
+	for i := range r.Servers() {
+		listed[r.Servers()[i].Address] = true
+	}
+	for i := range before.Servers() {
+		if a := before.Servers()[i].Address; !listed[a] {
+			e.backend.GiveUp(a)
+		}
+	}
+	e.hurry()
+}
+
+// crashLog holds the crashes that are still told of.
+type crashLog struct {
+	mu      sync.Mutex
+	crashes []news.Crash
+	at      []time.Time
+}
+
+func (l *crashLog) add(now time.Time, c news.Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes, l.at = append(l.crashes, c), append(l.at, now)
+}
+
+func (l *crashLog) recent(now time.Time) []news.Crash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.at) > 0 && now.Sub(l.at[0]) > crashLife {
+		l.crashes, l.at = l.crashes[1:], l.at[1:]
+	}
+	return append([]news.Crash(nil), l.crashes...)
+}
+
+// checkTimeout bounds the check whether a server died.
+const checkTimeout = 400 * time.Millisecond
+
+// checkCrash finds out whether a server that cut off an exchange died of it.
+func (e *Edge) checkCrash(k *call, a *belief.Attempt) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	if e.backend.Reachable(ctx, a.Server.Address) {
+		return
+	}
+	now := time.Now()
+	c := news.Crash{Service: k.service, Server: a.Server.ID, Fingerprint: k.fingerprint}
+	e.crashes.add(now, c)
+	e.takeCrashes(now, []news.Crash{c})
+	e.hurry()
+	m := e.message(now)
+	m.Relay = true
+	e.post.Send(m, addresses(e.members.Gateways(gateways)))
+}
+
+func (e *Edge) takeCrashes(now time.Time, crashes []news.Crash) {
+	for _, c := range crashes {
+		found := e.poison.Crashed(now, c.Service, c.Server, []ident.Fingerprint{c.Fingerprint})
+		for _, q := range found {
+			e.count("poison.quarantined")
+			e.log.WithFields(logrus.Fields{
+				"service": q.Service, "fingerprint": strconv.FormatUint(uint64(q.Fingerprint), 16), "servers": q.Servers,
+			}).Warn("request quarantined")
+		}
+	}
+}
--- a/io/admin/prometheus.go
+++ b/io/exposition/exposition.go
@@ -1,4 +1,6 @@
-package admin
+// Package exposition writes the metrics of a process in the text form that
+// Prometheus and its kin read.
+package exposition
 
 import (
 	"bytes"
@@ -6,7 +8,6 @@
 	"slices"
 	"strings"
 
-	"github.com/gofiber/fiber/v2"
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	metrics "github.com/rcrowley/go-metrics"
@@ -18,10 +19,13 @@
 // quantiles are shown of each histogram.
 var quantiles = []float64{0.5, 0.9, 0.99}
 
-// prometheus writes all metrics in Prometheus' text form.
-func (a *Admin) prometheus(c *fiber.Ctx) error {
+// ContentType is that of the text form.
+var ContentType = string(expfmt.NewFormat(expfmt.TypeTextPlain))
+
+// Text returns all metrics of a registry, sorted by name.
+func Text(registry metrics.Registry) ([]byte, error) {
 	var families []*dto.MetricFamily
-	a.options.Registry.Each(func(name string, metric any) {
+	registry.Each(func(name string, metric any) {
 		if f := family(metricName(name), metric); f != nil {
 			families = append(families, f)
 		}
@@ -30,11 +34,10 @@
 	var out bytes.Buffer
 	for _, f := range families {
 		if _, err := expfmt.MetricFamilyToText(&out, f); err != nil {
-			return fmt.Errorf("admin: metrics: %w", err)
+			return nil, fmt.Errorf("exposition: %w", err)
 		}
 	}
-	c.Set(fiber.HeaderContentType, string(expfmt.NewFormat(expfmt.TypeTextPlain)))
-	return c.Send(out.Bytes())
+	return out.Bytes(), nil
 }
 
 // metricName turns a name such as refusal.queueFull into the other form.
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -21,7 +21,9 @@
 	"bilberrymux/core/once"
 	"bilberrymux/core/refusal"
 	"bilberrymux/io/backend"
+	"bilberrymux/io/hop"
 	"bilberrymux/io/router"
+	"bilberrymux/io/watch"
 )
 
 // Headers between callers and the daemon.
@@ -179,9 +181,9 @@
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
-	w := newWatch(c.Context().Conn(), cancel)
+	w := watch.New(c.Context().Conn(), cancel)
 	reply := f.options.Router.Do(ctx, call)
-	w.stop()
+	w.Stop()
 	if reply.Answer != nil {
 		// A streamed answer is read after this handler has returned.
 		reply.Answer.AfterEnd(cancel)
@@ -212,7 +214,7 @@
 	} else {
 		src.CopyTo(dst)
 	}
-	dropHopByHop(&dst.Header)
+	hop.Drop(&dst.Header)
 	if closing {
 		dst.SetConnectionClose()
 	}
@@ -303,7 +305,7 @@
 	// caller's.
 	req := &fasthttp.Request{}
 	c.Request().CopyTo(req)
-	dropHopByHop(&req.Header)
+	hop.Drop(&req.Header)
 	req.Header.Del(fasthttp.HeaderExpect)
 	req.Header.SetProtocol("HTTP/1.1")
 	req.UseHostHeader = true
@@ -317,26 +319,3 @@
 	}
 	return req
 }
-
-// hopByHop lists the headers that belong to one connection (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	fasthttp.HeaderConnection, "Keep-Alive", "Proxy-Connection", fasthttp.HeaderProxyAuthenticate,
-	fasthttp.HeaderProxyAuthorization, fasthttp.HeaderTE, fasthttp.HeaderTrailer, fasthttp.HeaderUpgrade,
-}
-
-// header is what requests and answers have in common.
-type header interface {
-	Peek(key string) []byte
-	Del(key string)
-}
-
-func dropHopByHop(h header) {
-	for name := range strings.SplitSeq(string(h.Peek(fasthttp.HeaderConnection)), ",") {
-		if name = strings.TrimSpace(name); name != "" {
-			h.Del(name)
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
--- a/io/front/watch.go
+++ b/io/watch/watch.go
@@ -1,4 +1,5 @@
-package front
+// Package watch finds out that a caller left while its request runs.
+package watch
 
 import (
 	"context"
@@ -14,8 +15,8 @@
 // Most requests end sooner and cost nothing.
 const watchAfter = 25 * time.Millisecond
 
-// watch finds out that a caller closed its connection while its request runs.
-type watch struct {
+// Watch finds out that a caller closed its connection while its request runs.
+type Watch struct {
 	conn   net.Conn
 	cancel context.CancelFunc
 
@@ -25,8 +26,10 @@
 	running chan struct{}
 }
 
-func newWatch(conn net.Conn, cancel context.CancelFunc) *watch {
-	w := &watch{conn: conn, cancel: cancel}
+// New watches the connection of a request and calls cancel once when its caller
+// closed it. Stop must be called when the request is over.
+func New(conn net.Conn, cancel context.CancelFunc) *Watch {
+	w := &Watch{conn: conn, cancel: cancel}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(watchAfter, w.start)
@@ -35,7 +38,7 @@
 
 // start waits until the connection has something to read: the end of it, or
 // the caller's next request, which ends the watch.
-func (w *watch) start() {
+func (w *Watch) start() {
 	w.mu.Lock()
 	sc, ok := w.conn.(syscall.Conn)
 	if w.stopped || !ok {
@@ -65,8 +68,8 @@
 	}
 }
 
-// stop ends the watch and leaves the connection as it was.
-func (w *watch) stop() {
+// Stop ends the watch and leaves the connection as it was.
+func (w *Watch) Stop() {
 	w.timer.Stop()
 	w.mu.Lock()
 	w.stopped = true
