--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -4,16 +4,29 @@
 
 import (
 	"sync"
+	"time"
 
 	"bilberrymux/core/ident"
 )
 
-// Options set the size of a budget.
+// Options set the size of a budget. In any span of time it allows at most Burst,
+// Ratio for each request, and PerSecond for each second.
 type Options struct {
 	// Ratio is the number of further arrivals that each request earns.
 	Ratio float64
-	// Reserve is the most further arrivals that may be saved up.
-	Reserve float64
+	// PerSecond is earned by time while requests come.
+	PerSecond float64
+	// Burst is the most further arrivals that may be saved up.
+	Burst float64
+}
+
+// maxGap bounds the time that one request earns for, so that a daemon which
+// rarely sees a service saves up little.
+const maxGap = time.Second
+
+type bucket struct {
+	tokens float64
+	last   time.Time
 }
 
 // Budget is a token bucket for each service. A new one is empty, so that a
@@ -22,37 +35,26 @@
 type Budget struct {
 	mu      sync.Mutex
 	options Options
-	tokens  map[ident.ServiceID]float64
+	buckets map[ident.ServiceID]*bucket
 }
 
 // New returns an empty budget.
 func New(o Options) *Budget {
-	return &Budget{options: o, tokens: map[ident.ServiceID]float64{}}
-}
-
-// SetReserve changes the most that may be saved up.
-func (b *Budget) SetReserve(reserve float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.options.Reserve = reserve
+	return &Budget{options: o, buckets: map[ident.ServiceID]*bucket{}}
 }
 
 // Earn counts one request for the service.
-func (b *Budget) Earn(service ident.ServiceID) {
+func (b *Budget) Earn(now time.Time, service ident.ServiceID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(service, b.options.Ratio)
-}
-
-// Accrue adds a part of the reserve for each service, in tokens.
-func (b *Budget) Accrue(service ident.ServiceID, tokens float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.add(service, tokens)
-}
-
-func (b *Budget) add(service ident.ServiceID, tokens float64) {
-	b.tokens[service] = min(b.tokens[service]+tokens, b.options.Reserve)
+	k := b.buckets[service]
+	if k == nil {
+		k = &bucket{last: now}
+		b.buckets[service] = k
+	}
+	gap := min(max(0, now.Sub(k.last)), maxGap)
+	k.last = now
+	k.tokens = min(k.tokens+b.options.Ratio+b.options.PerSecond*gap.Seconds(), b.options.Burst)
 }
 
 // Spend takes one further arrival out of the budget and reports whether there
@@ -60,10 +62,11 @@
 func (b *Budget) Spend(service ident.ServiceID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens[service] < 1 {
+	k := b.buckets[service]
+	if k == nil || k.tokens < 1 {
 		return false
 	}
-	b.tokens[service]--
+	k.tokens--
 	return true
 }
 
@@ -71,5 +74,8 @@
 func (b *Budget) Left(service ident.ServiceID) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tokens[service]
+	if k := b.buckets[service]; k != nil {
+		return k.tokens
+	}
+	return 0
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"runtime/debug"
 	"strconv"
@@ -106,7 +105,7 @@
 		Capacity: s.CPUShare,
 	})
 	e.book = belief.New(belief.Options{Zone: s.Zone, Regions: s.Zones, Changed: e.beliefChanged})
-	e.budget = budget.New(budget.Options{Ratio: s.Bounds.FurtherRatio * budgetPart, Reserve: 1})
+	e.budget = budget.New(budgetOptions(s))
 	e.backend = backend.New(e.dialer(serverDialTimeout))
 	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string) {
 		e.count("store." + call + "." + result)
@@ -208,15 +207,21 @@
 
 // The share of the budget of further attempts that one daemon may use.
 const (
-	// budgetPart leaves room for requests that are counted elsewhere.
-	budgetPart = 0.9
-	// reservePart is the part of the reserve that is handed out.
-	reservePart = 0.7
+	// ratioPart leaves room for requests that are counted elsewhere.
+	ratioPart = 0.9
+	// burstPart and flowPart are the parts of the reserve that may be spent at
+	// once, and over a window.
+	burstPart = 0.45
+	flowPart  = 0.45
 )
 
-// reserve returns this daemon's part of the reserve of further attempts: the
-// daemons that callers of a host are sent to share it.
-func (e *Edge) reserve() float64 {
-	dispatchers := ownersPerHost * len(e.settings.Zones)
-	return math.Max(1, reservePart*e.settings.Bounds.FurtherReserve/float64(dispatchers))
+// budgetOptions returns this daemon's part of the budget. The daemons that the
+// callers of a host are sent to share the reserve.
+func budgetOptions(s *settings.Edge) budget.Options {
+	reserve := s.Bounds.FurtherReserve / float64(ownersPerHost*len(s.Zones))
+	return budget.Options{
+		Ratio:     s.Bounds.FurtherRatio * ratioPart,
+		PerSecond: flowPart * reserve / float64(s.Bounds.FurtherWindow),
+		Burst:     max(1, burstPart*reserve),
+	}
 }
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -67,7 +67,7 @@
 	if e.poison.Blocked(time.Now(), k.service, k.fingerprint) {
 		return nil, refusal.New(refusal.Poison, "")
 	}
-	e.budget.Earn(k.service)
+	e.budget.Earn(time.Now(), k.service)
 	r := &run{
 		edge: e, call: k, last: refusal.NoServer,
 		results: make(chan ended, maxUnreached+k.route.Attempts+1), cancels: map[*belief.Attempt]context.CancelFunc{},
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -150,16 +150,6 @@
 	m := e.message(now)
 	m.Reports = e.book.Reports(now, reportAge, maxReports)
 	e.post.Send(m, addresses(e.members.Peers()))
-	e.budget.SetReserve(e.reserve())
-	e.accrue()
-}
-
-// accrue hands out this daemon's part of the reserve over one window.
-func (e *Edge) accrue() {
-	periods := float64(e.settings.Bounds.FurtherWindow.Duration()) / float64(newsPeriod)
-	for id := range e.keeper.Catalog().Services {
-		e.budget.Accrue(id, e.reserve()/periods)
-	}
 }
 
 // hurry asks for news to the zone before the next period.
