While a service loses requests, its floor stays in use; owners by what a VM carries

Change: rendezvous weighted by the core's share, a quarter of a zone's daemons own a host, the budget is shared among them; while more than 6% of requests are lost, each zone gives every server of the floor (least risk first) work once in 1.2 s.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -86,8 +86,8 @@
 	// at is the moment for which risk holds, and that of the newest evidence.
 	at    time.Time
 	tried bool
-	// listed is when the server was first seen.
-	listed time.Time
+	// picked is when this daemon last sent something there.
+	picked time.Time
 	// active holds the attempts under way from this daemon.
 	active []*Attempt
 	// elsewhere counts the attempts that other daemons of the zone report.
@@ -129,6 +129,7 @@
 	mu      sync.Mutex
 	states  map[roster.Key]*state
 	usual   map[string]*detect.Quantiles
+	loss    map[ident.ServiceID]*lossRate
 	options Options
 }
 
@@ -138,6 +139,9 @@
 	Zone ident.ZoneID
 	// Regions names the region of each availability zone.
 	Regions map[ident.ZoneID]ident.RegionID
+	// FloorShare is the part of a service's servers that stays in use while
+	// some of its requests fail.
+	FloorShare float64
 	// Changed is told, with the lock of the book held, when the belief about a
 	// server passes between sound and sick by own evidence.
 	Changed func(s roster.Server, risk float64, outcome Outcome)
@@ -145,7 +149,7 @@
 
 // New returns a book without evidence.
 func New(o Options) *Book {
-	return &Book{states: map[roster.Key]*state{}, usual: map[string]*detect.Quantiles{}, options: o}
+	return &Book{states: map[roster.Key]*state{}, usual: map[string]*detect.Quantiles{}, loss: map[ident.ServiceID]*lossRate{}, options: o}
 }
 
 // Sync forgets servers that are not listed and begins with those that are new.
@@ -168,7 +172,7 @@
 func (b *Book) state(now time.Time, key roster.Key) *state {
 	s := b.states[key]
 	if s == nil {
-		s = &state{risk: newRisk, at: now, listed: now}
+		s = &state{risk: newRisk, at: now}
 		b.states[key] = s
 	}
 	return s
--- /dev/null
+++ b/core/belief/floor.go
@@ -0,0 +1,87 @@
+package belief
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"bilberrymux/core/ident"
+	"bilberrymux/core/roster"
+)
+
+// The floor: while a service loses requests, work must not crowd on the few
+// servers whose evidence is best.
+const (
+	// distressFrom is the share of requests without a good answer from which the
+	// floor counts.
+	distressFrom = 0.06
+	// floorMargin is added to the share of servers that must stay in use.
+	floorMargin = 0.05
+	// floorPeriod is how long a server of the floor may go without work.
+	floorPeriod = 1200 * time.Millisecond
+	// lossTime is the time constant of the running share of lost requests.
+	lossTime = 2 * time.Second
+)
+
+// lossRate is the running share of requests that a service lost.
+type lossRate struct {
+	lost, all float64
+	at        time.Time
+}
+
+func (l *lossRate) distressed() bool {
+	return l.all > 0 && l.lost/l.all >= distressFrom
+}
+
+// Settled records whether a request for a service got a good answer.
+func (b *Book) Settled(now time.Time, service ident.ServiceID, served bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.lossOf(service)
+	fade := math.Exp(-float64(now.Sub(l.at)) / float64(lossTime))
+	l.lost, l.all, l.at = l.lost*fade, l.all*fade+1, now
+	if !served {
+		l.lost++
+	}
+}
+
+func (b *Book) lossOf(service ident.ServiceID) *lossRate {
+	l := b.loss[service]
+	if l == nil {
+		l = &lossRate{}
+		b.loss[service] = l
+	}
+	return l
+}
+
+// floorDue returns the server of the own zone that must get work so that the
+// service keeps its floor, or nil. The floor is made of the servers with the
+// least risk; each zone looks after its own ones.
+func (b *Book) floorDue(now time.Time, ask *Ask) *roster.Server {
+	if len(ask.Servers) == 0 || len(ask.Tried) > 0 || !b.lossOf(ask.Servers[0].Service).distressed() {
+		return nil
+	}
+	type rated struct {
+		server *roster.Server
+		state  *state
+		risk   float64
+	}
+	all := make([]rated, 0, len(ask.Servers))
+	for _, server := range ask.Servers {
+		if !server.Draining {
+			s := b.state(now, server.Key())
+			all = append(all, rated{server, s, s.riskAt(now)})
+		}
+	}
+	slices.SortStableFunc(all, func(x, y rated) int { return cmp.Compare(x.risk, y.risk) })
+	size := int(math.Ceil((b.options.FloorShare + floorMargin) * float64(len(all))))
+	for _, r := range all[:min(size, len(all))] {
+		idle := now.Sub(r.state.picked) > floorPeriod && now.Sub(r.state.at) > floorPeriod
+		usable := len(r.state.active) == 0 && !now.Before(r.state.pathUntil) && !r.state.misdirected
+		if r.server.Zone == b.options.Zone && idle && usable {
+			return r.server
+		}
+	}
+	return nil
+}
--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -48,10 +48,6 @@
 	probationCost = 0.5
 	// slowCost is that of a server which takes e times as long as usual.
 	slowCost = 0.2
-	// trialGain is what the news about a near server is worth that nobody has
-	// tried for trialAfter.
-	trialGain  = 0.0
-	trialAfter = 3 * time.Second
 )
 
 // slowFrom is the logarithm of the slowness that is noise.
@@ -86,6 +82,10 @@
 	if best == nil {
 		return nil
 	}
+	if due := b.floorDue(now, ask); due != nil {
+		best, bestState = due, b.state(now, due.Key())
+	}
+	bestState.picked = now
 	a := &Attempt{Server: *best, Risk: bestState.riskAt(now), Age: -1, Started: now, route: ask.Route}
 	if bestState.tried {
 		a.Age = now.Sub(bestState.at)
@@ -103,9 +103,6 @@
 	}
 	far := b.distance(server.Zone, ask.Idempotent)
 	cost += far + b.loadCost(now, server, s, risk)
-	if far == 0 && len(s.active) == 0 && now.Sub(max3(s.at, s.listed)) > trialAfter {
-		cost -= trialGain
-	}
 	if now.Before(s.pathUntil) {
 		cost += pathCost
 	}
@@ -121,13 +118,6 @@
 	return cost
 }
 
-func max3(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // distance is the cost of the way to a zone.
 func (b *Book) distance(zone ident.ZoneID, idempotent bool) float64 {
 	near, far := zoneCost, regionCost
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -43,6 +43,13 @@
 	return &Budget{options: o, buckets: map[ident.ServiceID]*bucket{}}
 }
 
+// SetOptions changes the size.
+func (b *Budget) SetOptions(o Options) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.options = o
+}
+
 // Earn counts one request for the service.
 func (b *Budget) Earn(now time.Time, service ident.ServiceID) {
 	b.mu.Lock()
--- a/core/zone/zone.go
+++ b/core/zone/zone.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -169,10 +170,22 @@
 	if len(candidates) == 0 {
 		return []Member{self}
 	}
-	byScore(candidates, key)
+	slices.SortFunc(candidates, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.weighted(key), a.weighted(key)), cmp.Compare(a.VM, b.VM))
+	})
 	return candidates[:min(n, len(candidates))]
 }
 
+// weighted is the rendezvous hash by which VMs win in proportion to what they
+// can carry (Schindelhauer and Schomaker 2005).
+func (m *Member) weighted(key string) float64 {
+	unit := (float64(score(m.VM, key)>>11) + 0.5) / (1 << 53)
+	return -max(m.Capacity, leastCapacity) / math.Log(unit)
+}
+
+// leastCapacity is the share of a core that a VM is taken to have at least.
+const leastCapacity = 0.01
+
 // Gateways returns up to n daemons of each other zone, which pass news on inside
 // their zone.
 func (t *Table) Gateways(n int) []Member {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -104,8 +104,8 @@
 		PeerAddress: e.peerAddress(), CallerAddress: s.CallerAddress, Started: time.Now().UnixMicro(),
 		Capacity: s.CPUShare,
 	})
-	e.book = belief.New(belief.Options{Zone: s.Zone, Regions: s.Zones, Changed: e.beliefChanged})
-	e.budget = budget.New(budgetOptions(s))
+	e.book = belief.New(belief.Options{Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, Changed: e.beliefChanged})
+	e.budget = budget.New(budgetOptions(s, leastOwners))
 	e.backend = backend.New(e.dialer(serverDialTimeout))
 	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string) {
 		e.count("store." + call + "." + result)
@@ -216,12 +216,18 @@
 )
 
 // budgetOptions returns this daemon's part of the budget. The daemons that the
-// callers of a host are sent to share the reserve.
-func budgetOptions(s *settings.Edge) budget.Options {
-	reserve := s.Bounds.FurtherReserve / float64(ownersPerHost*len(s.Zones))
+// callers of a host are sent to, so many in each zone, share the reserve.
+func budgetOptions(s *settings.Edge, owners int) budget.Options {
+	reserve := s.Bounds.FurtherReserve / float64(owners*len(s.Zones))
 	return budget.Options{
 		Ratio:     s.Bounds.FurtherRatio * ratioPart,
 		PerSecond: flowPart * reserve / float64(s.Bounds.FurtherWindow),
 		Burst:     max(1, burstPart*reserve),
 	}
 }
+
+// owners returns the number of daemons of this zone that the callers of one host
+// are sent to.
+func (e *Edge) owners() int {
+	return max(leastOwners, len(e.members.Live())/ownersPart)
+}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -73,6 +73,10 @@
 		results: make(chan ended, maxUnreached+k.route.Attempts+1), cancels: map[*belief.Attempt]context.CancelFunc{},
 	}
 	answer, refused := r.drive(ctx)
+	if refused == nil || refused.Kind != refusal.CallerGone {
+		served := refused == nil && answer.response.StatusCode() < fasthttp.StatusInternalServerError
+		e.book.Settled(time.Now(), k.service, served)
+	}
 	for _, cancel := range r.cancels {
 		cancel()
 	}
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -150,6 +150,7 @@
 	m := e.message(now)
 	m.Reports = e.book.Reports(now, reportAge, maxReports)
 	e.post.Send(m, addresses(e.members.Peers()))
+	e.budget.SetOptions(budgetOptions(e.settings, e.owners()))
 }
 
 // hurry asks for news to the zone before the next period.
--- a/io/edge/listen.go
+++ b/io/edge/listen.go
@@ -68,9 +68,11 @@
 
 // The answers to callers that ask where to connect.
 const (
-	// ownersPerHost is the number of daemons of a zone that the callers of one
-	// host are sent to: the evidence about its servers meets there.
-	ownersPerHost = 2
+	// leastOwners is the least number of daemons of a zone that the callers of
+	// one host are sent to: the evidence about its servers meets there. Of
+	// larger zones it is one in ownersPart.
+	leastOwners = 2
+	ownersPart  = 4
 	// locateLifetime is how long callers keep an answer.
 	locateLifetime = 2 * time.Second
 )
@@ -81,7 +83,7 @@
 	s.edge.count("locates")
 	query := platform.ParseLocate(c.Context().QueryArgs())
 	var addresses []string
-	for _, m := range s.edge.members.Owners(query.Host, ownersPerHost) {
+	for _, m := range s.edge.members.Owners(query.Host, s.edge.owners()) {
 		addresses = append(addresses, m.CallerAddress)
 	}
 	body, err := platform.FormatLocate(addresses, min(locateLifetime, s.edge.settings.Bounds.LocateLifetime.Duration()))
