Changes of the server list travel in the datagram

Change: rows remember at which version of the store they changed; the reader's next datagram carries the rows that changed, and a fetch brings only what is missing.

--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,13 +41,15 @@
 	roster  atomic.Pointer[roster.Roster]
 
 	mu sync.Mutex
-	// config and servers hold what the store said, in its own bytes.
-	config  []byte
-	servers map[string][]byte
+	// config holds what the store said, in its own bytes.
+	config []byte
+	rows   rowSet
 	// configAt and serversAt are when the store last confirmed them.
 	configAt, serversAt time.Time
 	// confirmed is the version of the store at which the list was last read.
 	confirmed uint64
+	// reader says that this daemon read the newest list itself.
+	reader bool
 	// feedFrom is the version of the store from which changes of the
 	// configuration are asked for.
 	feedFrom uint64
@@ -60,7 +61,7 @@
 
 // New returns a keeper without a configuration or servers.
 func New(o Options) *Keeper {
-	k := &Keeper{options: o, servers: map[string][]byte{}, rejected: map[string]bool{}}
+	k := &Keeper{options: o, rows: newRowSet(), rejected: map[string]bool{}}
 	empty, err := catalog.New(0, nil, nil, catalog.Limits{})
 	if err != nil {
 		panic(err)
@@ -103,57 +104,61 @@
 	k.options.Configured(c)
 }
 
-// applyServers takes over a list that was read at a version of the store.
-func (k *Keeper) applyServers(now time.Time, rows map[string][]byte, stamp uint64, at time.Time, source string) {
-	servers := make([]roster.Server, 0, len(rows))
-	for key, value := range rows {
-		s, err := platform.DecodeServer(key, value)
-		if err != nil {
-			k.reject(key, err)
-			continue
-		}
-		servers = append(servers, s)
-	}
+// applyServers takes over the changes that bring the list to a later version of
+// the store. It reports false where the list is too old for them.
+func (k *Keeper) applyServers(now time.Time, c *news.Changes, at time.Time, source string) bool {
 	k.mu.Lock()
-	if stamp < k.confirmed {
+	if c.Base > k.confirmed {
 		k.mu.Unlock()
-		return
+		return false
 	}
-	k.confirmed = stamp
-	k.serversAt = at
+	k.serversAt = later(k.serversAt, at)
+	if c.Stamp < k.confirmed {
+		k.mu.Unlock()
+		return true
+	}
+	k.confirmed, k.reader = c.Stamp, source == sourceStore
+	bad := k.rows.apply(c)
 	before := k.roster.Load()
-	next := roster.New(stamp, servers)
-	if next.Same(before) {
+	next := roster.New(c.Stamp, k.rows.list())
+	if next.Same(before) && before.Stamp > 0 {
 		k.mu.Unlock()
-		return
+		k.reject(bad)
+		return true
 	}
-	k.servers = rows
 	k.roster.Store(next)
 	k.mu.Unlock()
-	next.Compare(before, func(s *roster.Server, c roster.Change) {
+	k.reject(bad)
+	next.Compare(before, func(s *roster.Server, change roster.Change) {
 		k.options.Log.WithFields(logrus.Fields{
-			"server": s.ID, "service": s.Service, "change": c, "stamp": stamp, "source": source,
+			"server": s.ID, "service": s.Service, "change": change, "stamp": c.Stamp, "source": source,
 		}).Info("backend server")
 	})
 	k.options.Listed(now, next, before)
+	return true
 }
 
+// sourceStore names the store in log lines; peers are named by their VM.
+const sourceStore = "store"
+
 // maxRejected bounds the rows that are remembered as unreadable.
 const maxRejected = 1000
 
-// reject tells of an unreadable row once.
-func (k *Keeper) reject(key string, err error) {
-	k.mu.Lock()
-	known := k.rejected[key]
-	if len(k.rejected) < maxRejected {
-		k.rejected[key] = true
-	}
-	k.mu.Unlock()
-	if known {
-		return
+// reject tells of each unreadable row once.
+func (k *Keeper) reject(bad map[string]error) {
+	for key, err := range bad {
+		k.mu.Lock()
+		known := k.rejected[key]
+		if len(k.rejected) < maxRejected {
+			k.rejected[key] = true
+		}
+		k.mu.Unlock()
+		if known {
+			continue
+		}
+		k.options.Count("servers.unreadable")
+		k.options.Log.WithError(err).WithField("server", key).Warn("row names no server")
 	}
-	k.options.Count("servers.unreadable")
-	k.options.Log.WithError(err).WithField("server", key).Warn("row names no server")
 }
 
 // ages returns how long ago the store confirmed the configuration and the list.
@@ -217,25 +222,50 @@
 	defer k.mu.Unlock()
 	s := &news.State{
 		Version: k.catalog.Load().Version, VersionAgeMillis: uint32(config.Milliseconds()),
-		Stamp: k.roster.Load().Stamp, StampAgeMillis: uint32(servers.Milliseconds()),
+		StampAgeMillis: uint32(servers.Milliseconds()),
 	}
 	if s.Version > r.Version {
 		s.Config = k.config
 	}
-	if s.Stamp > r.Stamp {
-		s.Servers = maps.Clone(k.servers)
+	if k.confirmed > r.Stamp {
+		s.Changes = k.rows.since(r.Stamp, k.confirmed)
 	}
 	return s
 }
 
+// Changes returns what changed in the list after a version of the store, for a
+// datagram, or nil where nothing did, it is too much, or another daemon read it.
+func (k *Keeper) Changes(base uint64) *news.Changes {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.reader {
+		return nil
+	}
+	c := k.rows.since(base, k.confirmed)
+	if len(c.Servers)+len(c.Removed) == 0 || len(c.Servers)+len(c.Removed) > maxChanges {
+		return nil
+	}
+	return c
+}
+
+// maxChanges bounds the servers of one datagram with changes.
+const maxChanges = 12
+
 // Take takes over the state of a peer.
 func (k *Keeper) Take(now time.Time, s *news.State, from ident.VMID) {
 	source := "peer " + string(from)
 	if len(s.Config) > 0 {
 		k.applyConfig(s.Config, now.Add(-millis(s.VersionAgeMillis)), source)
 	}
-	if len(s.Servers) > 0 {
-		k.applyServers(now, s.Servers, s.Stamp, now.Add(-millis(s.StampAgeMillis)), source)
+	if s.Changes != nil {
+		k.TakeChanges(now, s.Changes, s.StampAgeMillis, from)
+	}
+}
+
+// TakeChanges takes over changes that a peer sent.
+func (k *Keeper) TakeChanges(now time.Time, c *news.Changes, ageMillis uint32, from ident.VMID) {
+	if !k.applyServers(now, c, now.Add(-millis(ageMillis)), "peer "+string(from)) {
+		k.options.Count("servers.gap")
 	}
 }
 
@@ -250,12 +280,11 @@
 	if err != nil {
 		return fmt.Errorf("discovery: servers: %w", err)
 	}
-	values := make(map[string][]byte, len(rows))
-	for _, r := range rows {
-		values[r.Key] = r.Value
-	}
+	k.mu.Lock()
+	c := k.rows.difference(rows, version)
+	k.mu.Unlock()
 	now := time.Now()
-	k.applyServers(now, values, version, now, "store")
+	k.applyServers(now, c, now, sourceStore)
 	return nil
 }
 
@@ -275,7 +304,7 @@
 	now := time.Now()
 	for _, r := range rows {
 		if r.Key == platform.KeyConfig && !r.Deleted {
-			k.applyConfig(r.Value, now, "store")
+			k.applyConfig(r.Value, now, sourceStore)
 		}
 	}
 	k.mu.Lock()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -67,10 +67,16 @@
 	// urgentNews asks for a datagram before the next period.
 	urgentNews chan struct{}
 	crashes    crashLog
-	fetching   atomic.Bool
-	stopping   atomic.Bool
-	inFlight   atomic.Int64
-	requests   atomic.Int64
+	// told is the last change of the list that peers are told of; only the
+	// goroutine that sends news uses it.
+	told struct {
+		before, newest uint64
+		at             time.Time
+	}
+	fetching atomic.Bool
+	stopping atomic.Bool
+	inFlight atomic.Int64
+	requests atomic.Int64
 
 	background conc.WaitGroup
 	tasks      conc.WaitGroup
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -149,10 +149,26 @@
 	}
 	m := e.message(now)
 	m.Reports = e.book.Reports(now, reportAge, maxReports)
+	m.Changes = e.keeper.Changes(e.toldBase(now, m.Stamp))
 	e.post.Send(m, addresses(e.members.Peers()))
 	e.budget.SetOptions(budgetOptions(e.settings, e.owners()))
 }
 
+// toldBase returns the version of the store from which changes are told. A
+// change is told for changeLife.
+func (e *Edge) toldBase(now time.Time, stamp uint64) uint64 {
+	if stamp != e.told.newest {
+		e.told.before, e.told.newest, e.told.at = e.told.newest, stamp, now
+	}
+	if now.Sub(e.told.at) > changeLife {
+		return stamp
+	}
+	return e.told.before
+}
+
+// changeLife is how long a change of the list is told of.
+const changeLife = 500 * time.Millisecond
+
 // hurry asks for news to the zone before the next period.
 func (e *Edge) hurry() {
 	select {
@@ -212,6 +228,9 @@
 	if m.Hello {
 		e.post.Send(e.message(now), []string{m.From.PeerAddress})
 	}
+	if m.Changes != nil {
+		e.keeper.TakeChanges(now, m.Changes, m.StampAgeMillis, m.From.VM)
+	}
 	if lacks := e.keeper.Lacks(now, m); lacks != nil {
 		e.fetch(m.From, lacks)
 	}
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -23,7 +23,7 @@
 	}
 	begin, grace := time.Now(), e.settings.Bounds.Grace.Duration()
 	e.log.WithField("inFlight", e.inFlight.Load()).Info("stopping")
-	e.tellZone(begin)
+	e.hurry()
 	time.Sleep(time.Duration(lingerPart * float64(grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-stopMargin))
 	defer cancel()
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -37,6 +37,18 @@
 	Hello bool `cbor:"9,keyasint,omitempty"`
 	// Stopping says that the sender ends by plan.
 	Stopping bool `cbor:"10,keyasint,omitempty"`
+	// Changes brings a list that is at least as new as its base up to Stamp.
+	Changes *Changes `cbor:"11,keyasint,omitempty"`
+}
+
+// Changes is the difference between two lists of servers, in the platform's own
+// bytes.
+type Changes struct {
+	Base  uint64 `cbor:"1,keyasint"`
+	Stamp uint64 `cbor:"2,keyasint"`
+	// Servers holds the rows that were added or changed, by key.
+	Servers map[string][]byte `cbor:"3,keyasint,omitempty"`
+	Removed []string          `cbor:"4,keyasint,omitempty"`
 }
 
 // Crash is a request that was running when a server died.
@@ -59,12 +71,10 @@
 	// the configuration and the list.
 	VersionAgeMillis uint32 `cbor:"2,keyasint"`
 	Config           []byte `cbor:"3,keyasint,omitempty"`
-	Stamp            uint64 `cbor:"4,keyasint"`
-	StampAgeMillis   uint32 `cbor:"5,keyasint"`
-	// Servers holds the rows by key; it is empty where the asker's list is as
-	// new.
-	Servers map[string][]byte `cbor:"6,keyasint,omitempty"`
-	Members []zone.Member     `cbor:"7,keyasint,omitempty"`
+	StampAgeMillis   uint32 `cbor:"4,keyasint"`
+	// Changes is what the asker's list lacks, or nil.
+	Changes *Changes      `cbor:"5,keyasint,omitempty"`
+	Members []zone.Member `cbor:"6,keyasint,omitempty"`
 }
 
 // encoding is how drpc carries the messages of this package.
