Waiting costs by the target's slack; four daemons of a zone follow the configuration

Change: four followers a zone, the others hear from them; the list is read at 0.4 of the drain bound; a round of waiting costs the part of the slack that it takes.

--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -13,7 +13,9 @@
 type Ask struct {
 	Servers []*roster.Server
 	// Route groups requests whose times compare.
-	Route      string
+	Route string
+	// Target is the time within which an answer has its full worth.
+	Target     time.Duration
 	Idempotent bool
 	// Last says that no further attempt may follow this one.
 	Last bool
@@ -32,8 +34,11 @@
 	zoneCostIdempotent   = 0.2
 	regionCostIdempotent = 0.3
 	failCostIdempotent   = 0.3
-	// queueCost is that of waiting for a whole round of the server's slots.
-	queueCost = 0.3
+	// lateCost is that of an answer which comes after its target.
+	lateCost = 0.5
+	// unknownWait is that of waiting for a round of slots while the usual time
+	// is not known.
+	unknownWait = 0.2
 	// crowdCost is that of a server whose slots are all but one in use.
 	crowdCost = 0.03
 	// pathCost and shedCost keep work off servers out of reach or without room
@@ -102,7 +107,7 @@
 		cost *= failCostIdempotent
 	}
 	far := b.distance(server.Zone, ask.Idempotent)
-	cost += far + b.loadCost(now, server, s, risk)
+	cost += far + b.loadCost(now, ask, server, s, risk)
 	if now.Before(s.pathUntil) {
 		cost += pathCost
 	}
@@ -134,7 +139,7 @@
 }
 
 // loadCost is the cost of what the server has to do already.
-func (b *Book) loadCost(now time.Time, server *roster.Server, s *state, risk float64) float64 {
+func (b *Book) loadCost(now time.Time, ask *Ask, server *roster.Server, s *state, risk float64) float64 {
 	busy := len(s.active)
 	for vm, e := range s.elsewhere {
 		if now.Sub(e.at) > elsewhereLife {
@@ -146,7 +151,7 @@
 	slots := max(1, server.Slots)
 	cost := crowdCost * float64(busy) / float64(slots)
 	if over := busy - slots + 1; over > 0 {
-		cost += queueCost * float64(over) / float64(slots)
+		cost += b.waitCost(ask) * float64(over) / float64(slots)
 	}
 	if risk >= sickFrom/2 && busy > 0 {
 		cost += probationCost * risk
@@ -159,6 +164,21 @@
 	return cost
 }
 
+// waitCost is the cost of waiting for a whole round of the slots: the part that
+// it takes of the time which is left until the target.
+func (b *Book) waitCost(ask *Ask) float64 {
+	q := b.usual[ask.Route]
+	if q == nil || !q.Warm() {
+		return unknownWait
+	}
+	usual := q.Median()
+	slack := ask.Target - usual
+	if slack <= usual/2 {
+		return lateCost
+	}
+	return min(1, lateCost*float64(usual)/float64(slack))
+}
+
 // overdueAfter returns the age from which an attempt of a route is overdue.
 func (b *Book) overdueAfter(route string) time.Duration {
 	q := b.usual[route]
--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -26,6 +26,8 @@
 	Store *platform.Store
 	Zone  *zone.Table
 	Log   *logrus.Entry
+	// Drain is the time in which a leaving server must get no more work.
+	Drain time.Duration
 	// Configured is told of each version that came into force.
 	Configured func(c *catalog.Catalog)
 	// Listed is told of each changed list of servers and of the one before.
@@ -221,7 +223,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := &news.State{
-		Version: k.catalog.Load().Version, VersionAgeMillis: uint32(config.Milliseconds()),
+		Version: k.catalog.Load().Version, VersionAgeMillis: uint32(config.Milliseconds()), FeedFrom: k.feedFrom,
 		StampAgeMillis: uint32(servers.Milliseconds()),
 	}
 	if s.Version > r.Version {
@@ -257,6 +259,11 @@
 	if len(s.Config) > 0 {
 		k.applyConfig(s.Config, now.Add(-millis(s.VersionAgeMillis)), source)
 	}
+	k.mu.Lock()
+	if s.Version == k.catalog.Load().Version {
+		k.feedFrom = max(k.feedFrom, s.FeedFrom)
+	}
+	k.mu.Unlock()
 	if s.Changes != nil {
 		k.TakeChanges(now, s.Changes, s.StampAgeMillis, from)
 	}
--- a/io/discovery/run.go
+++ b/io/discovery/run.go
@@ -9,9 +9,10 @@
 
 // The pace of reading.
 const (
-	// readPeriod is how old the list of servers may become before the first
-	// reader of a zone reads it again.
-	readPeriod = 700 * time.Millisecond
+	// readPart is how old the list of servers may become before the first reader
+	// of a zone reads it again, as a part of the time in which a leaving server
+	// must get no more work.
+	readPart = 0.4
 	// readSlack is how much longer the second reader waits, and readStep how
 	// much longer each further one.
 	readSlack = 500 * time.Millisecond
@@ -23,15 +24,20 @@
 	mostPause  = 3 * time.Second
 )
 
-// readerKey orders the daemons of a zone as readers.
-const readerKey = "reader"
+// readerKey and followerKey order the daemons of a zone as readers of the list and
+// as followers of the configuration.
+const (
+	readerKey   = "reader"
+	followerKey = "follower"
+)
 
 // readAfter returns the age of the list from which the daemon of a rank reads.
-func readAfter(rank int) time.Duration {
+func (k *Keeper) readAfter(rank int) time.Duration {
+	period := time.Duration(readPart * float64(k.options.Drain))
 	if rank == 0 {
-		return readPeriod
+		return period
 	}
-	return readPeriod + readSlack + time.Duration(rank-1)*readStep
+	return period + readSlack + time.Duration(rank-1)*readStep
 }
 
 // FollowServers reads the list whenever it is this daemon's turn, until the
@@ -39,7 +45,7 @@
 func (k *Keeper) FollowServers(ctx context.Context) {
 	loop.Every(ctx, readTick, func(now time.Time) {
 		_, servers := k.ages(now)
-		if servers < readAfter(k.options.Zone.Rank(readerKey)) || now.Before(k.nextRead) {
+		if servers < k.readAfter(k.options.Zone.Rank(readerKey)) || now.Before(k.nextRead) {
 			return
 		}
 		k.outcome(k.ReadServers(ctx))
@@ -63,10 +69,29 @@
 	k.nextRead = time.Now().Add(k.pause)
 }
 
+// followers is the number of daemons of a zone that wait at the store for changes
+// of the configuration; the others hear of them from these.
+const followers = 4
+
+// followTick is how often a daemon that does not follow looks whether it should.
+const followTick = 200 * time.Millisecond
+
+// follows reports whether it is this daemon's turn to follow the configuration.
+func (k *Keeper) follows() bool {
+	config, _ := k.ages(time.Now())
+	return config > feedWait+feedSlack || k.options.Zone.Rank(followerKey) < followers
+}
+
 // FollowConfig keeps the configuration up to date until the context ends.
 func (k *Keeper) FollowConfig(ctx context.Context) {
 	pause := leastPause
 	for ctx.Err() == nil {
+		if !k.follows() {
+			if !loop.Sleep(ctx, followTick) {
+				return
+			}
+			continue
+		}
 		if err := k.followConfig(ctx); err == nil {
 			pause = leastPause
 			continue
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -117,7 +117,7 @@
 		e.count("store." + call + "." + result)
 	})
 	e.keeper = discovery.New(discovery.Options{
-		Store: e.store, Zone: e.members, Log: e.log,
+		Store: e.store, Zone: e.members, Log: e.log, Drain: s.Bounds.Drain.Duration(),
 		Configured: e.configured, Listed: e.listed, Count: e.count,
 	})
 	e.front = newFront(e)
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -135,7 +135,7 @@
 func (r *run) start(ctx context.Context) bool {
 	e, k := r.edge, r.call
 	a := e.book.Pick(time.Now(), &belief.Ask{
-		Servers: e.keeper.Roster().Of(k.service), Route: k.route.Name, Idempotent: k.route.Idempotent,
+		Servers: e.keeper.Roster().Of(k.service), Route: k.route.Name, Target: k.route.Target, Idempotent: k.route.Idempotent,
 		Last: r.sends+1 >= k.route.Attempts, Tried: r.tried,
 	})
 	if a == nil {
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -75,6 +75,8 @@
 	// Changes is what the asker's list lacks, or nil.
 	Changes *Changes      `cbor:"5,keyasint,omitempty"`
 	Members []zone.Member `cbor:"6,keyasint,omitempty"`
+	// FeedFrom is the version of the store up to which Version is the newest.
+	FeedFrom uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // encoding is how drpc carries the messages of this package.
