--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,70 @@
+package catalog
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bilberrymux/core/ident"
+)
+
+func route(host, prefix string, parts ...Part) *Route {
+	if parts == nil {
+		parts = []Part{{"svc", 1}}
+	}
+	return &Route{Name: host + prefix, Host: host, Prefix: prefix, Timeout: time.Second, Attempts: 2, Parts: parts}
+}
+
+func TestLongestPrefixOfTheHost(t *testing.T) {
+	c, err := New(1, []*Route{route("h", "/"), route("h", "/a/"), route("h", "/a/b/"), route("other", "/a/b/c/")}, []Service{{ID: "svc"}}, Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct{ host, path, want string }{
+		{"h", "/a/b/c/d", "h/a/b/"}, {"h", "/a/b", "h/a/"}, {"h", "/a/b/", "h/a/b/"}, {"h", "/ab/", "h/"},
+		{"H:8080", "/a/x", "h/a/"}, {"other", "/a/b/c", ""}, {"none", "/", ""}, {"h", "", ""},
+	} {
+		got := ""
+		if r := c.Match(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s%s: %s", test.host, test.path, diff)
+		}
+	}
+}
+
+func TestPartsGetTheirShareInEveryRun(t *testing.T) {
+	r := route("h", "/", Part{"x", 70}, Part{"y", 25}, Part{"z", 5})
+	for start := uint64(0); start < 5000; start += 137 {
+		got := map[ident.ServiceID]int{}
+		for n := range uint64(200) {
+			got[r.Part(start+n)]++
+		}
+		if got["x"] < 134 || got["x"] > 146 || got["y"] < 44 || got["y"] > 56 || got["z"] < 6 || got["z"] > 14 {
+			t.Fatalf("from %d: %v", start, got)
+		}
+	}
+}
+
+func TestBadRoutesAreNamed(t *testing.T) {
+	bad := map[string]func(*Route){
+		"no host":          func(r *Route) { r.Host = "" },
+		"slash":            func(r *Route) { r.Prefix = "/a" },
+		"no timeout":       func(r *Route) { r.Timeout = 0 },
+		"no attempt":       func(r *Route) { r.Attempts = 0 },
+		"names no service": func(r *Route) { r.Parts = nil },
+		"is not defined":   func(r *Route) { r.Parts = []Part{{"unknown", 1}} },
+		"negative":         func(r *Route) { r.Parts = []Part{{"svc", -1}} },
+	}
+	for text, spoil := range bad {
+		r := route("h", "/a/")
+		spoil(r)
+		_, err := New(1, []*Route{r}, []Service{{ID: "svc"}}, Limits{})
+		if err == nil || !strings.Contains(err.Error(), text) || !strings.Contains(err.Error(), "h/a/") {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/core/zone/zone_test.go
@@ -0,0 +1,136 @@
+package zone
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bilberrymux/core/ident"
+)
+
+func member(zone, n string, started int64) Member {
+	return Member{
+		VM: ident.VMID(zone + n), Incarnation: ident.Incarnation(fmt.Sprint(zone, n, started)), Zone: ident.ZoneID(zone),
+		Started: started, Ready: true, Capacity: 0.3,
+	}
+}
+
+func names(ms []Member) []ident.VMID {
+	var out []ident.VMID
+	for _, m := range ms {
+		out = append(out, m.VM)
+	}
+	return out
+}
+
+func TestSilentDaemonIsDownUntilHeardAgain(t *testing.T) {
+	table, now := New(member("a", "1", 1)), time.Unix(100, 0)
+	table.Hear(now, member("a", "2", 1))
+	table.Hear(now, member("b", "1", 1))
+	if gone := table.Expire(now.Add(SilentAfter)); gone != nil {
+		t.Errorf("gone too soon: %v", names(gone))
+	}
+	late := now.Add(SilentAfter + time.Millisecond)
+	if diff := cmp.Diff([]ident.VMID{"a2"}, names(table.Expire(late))); diff != "" {
+		t.Error(diff)
+	}
+	if live := table.Live(); live != nil {
+		t.Errorf("live: %v", names(live))
+	}
+	if !table.Hear(late, member("a", "2", 1)) {
+		t.Error("a daemon that is heard again is no news")
+	}
+}
+
+func TestOlderIncarnationIsNotBelieved(t *testing.T) {
+	table, now := New(member("a", "1", 1)), time.Unix(100, 0)
+	table.Hear(now, member("a", "2", 5))
+	table.Hear(now, member("a", "2", 3))
+	table.Learn(member("a", "2", 4))
+	if got := table.Live()[0].Started; got != 5 {
+		t.Errorf("incarnation %d", got)
+	}
+}
+
+// TestOwnersAgree checks that all daemons with the same view name the same
+// owners, that those who are not ready are left out, and that the loss of one
+// moves only its own hosts.
+func TestOwnersAgree(t *testing.T) {
+	now := time.Unix(100, 0)
+	var all []Member
+	for n := range 12 {
+		all = append(all, member("a", fmt.Sprint(n), 1))
+	}
+	view := func(self int, without int) *Table {
+		table := New(all[self])
+		for i, m := range all {
+			if i != without {
+				table.Hear(now, m)
+			}
+		}
+		return table
+	}
+	moved, lost := 0, 0
+	for host := range 200 {
+		key := fmt.Sprint("host", host)
+		want := names(view(0, -1).Owners(key, 2))
+		if diff := cmp.Diff(want, names(view(7, -1).Owners(key, 2))); diff != "" {
+			t.Fatal(diff)
+		}
+		after := names(view(0, 5).Owners(key, 2))
+		if want[0] == "a5" || want[1] == "a5" {
+			lost++
+		} else if !cmp.Equal(want, after) {
+			moved++
+		}
+	}
+	if moved > 0 || lost == 0 {
+		t.Errorf("%d hosts moved without need, %d were lost", moved, lost)
+	}
+}
+
+func TestOwnersByCapacity(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := New(member("a", "1", 1))
+	strong := member("a", "2", 1)
+	strong.Capacity = 0.9
+	table.Hear(now, strong)
+	first := 0
+	for host := range 2000 {
+		if table.Owners(fmt.Sprint(host), 1)[0].VM == "a2" {
+			first++
+		}
+	}
+	if first < 1400 || first > 1600 {
+		t.Errorf("the VM with three quarters of the capacity owns %d of 2000 hosts", first)
+	}
+}
+
+func TestUnreadyDaemonStandsInAlone(t *testing.T) {
+	self := member("a", "1", 1)
+	self.Ready = false
+	table := New(self)
+	if diff := cmp.Diff([]ident.VMID{"a1"}, names(table.Owners("h", 2))); diff != "" {
+		t.Error(diff)
+	}
+	table.Hear(time.Unix(1, 0), member("a", "2", 1))
+	if diff := cmp.Diff([]ident.VMID{"a2"}, names(table.Owners("h", 2))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestGatewaysOfOtherZones(t *testing.T) {
+	table := New(member("a", "1", 1))
+	for _, m := range []Member{member("a", "2", 1), member("b", "1", 1), member("b", "2", 1), member("b", "3", 1), member("c", "1", 1)} {
+		table.Learn(m)
+	}
+	zones := map[ident.ZoneID]int{}
+	for _, m := range table.Gateways(2) {
+		zones[m.Zone]++
+	}
+	if diff := cmp.Diff(map[ident.ZoneID]int{"b": 2, "c": 1}, zones); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/io/discovery/rows_test.go
@@ -0,0 +1,69 @@
+package discovery
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bilberrymux/platform"
+)
+
+func rowOf(n, state int) []byte {
+	return fmt.Appendf(nil, `{"service":"s","address":"10.0.0.%d:1","zone":"z","version":"v","capacity":%d,"state":"ready","warmup_left_s":0,"sequence":%d,"born":1}`, n, state+1, state)
+}
+
+// TestChangesBringAPeerUpToDate checks that a peer at any earlier version has the
+// same rows after the changes since then, whatever came between.
+func TestChangesBringAPeerUpToDate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reader, peer := newRowSet(), newRowSet()
+		store := map[string][]byte{}
+		peerAt := uint64(0)
+		version := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			version += uint64(rapid.IntRange(1, 3).Draw(t, "step"))
+			for range rapid.IntRange(0, 3).Draw(t, "writes") {
+				n := rapid.IntRange(0, 5).Draw(t, "server")
+				if rapid.Bool().Draw(t, "drop") {
+					delete(store, fmt.Sprint(n))
+				} else {
+					store[fmt.Sprint(n)] = rowOf(n, rapid.IntRange(0, 3).Draw(t, "state"))
+				}
+			}
+			var rows []platform.Row
+			for _, key := range slices.Sorted(maps.Keys(store)) {
+				rows = append(rows, platform.Row{Key: key, Value: store[key]})
+			}
+			reader.apply(reader.difference(rows, version))
+			if rapid.Bool().Draw(t, "heard") {
+				peer.apply(reader.since(peerAt, version))
+				peerAt = version
+			}
+		}
+		peer.apply(reader.since(peerAt, version))
+		want, got := map[string]any{}, map[string]any{}
+		for k, r := range reader.rows {
+			want[k] = r.server
+		}
+		for k, r := range peer.rows {
+			got[k] = r.server
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func TestRepeatedReportsAreNoChange(t *testing.T) {
+	s := newRowSet()
+	s.apply(s.difference([]platform.Row{{Key: "1", Value: rowOf(1, 0)}, {Key: "odd", Value: []byte("x")}}, 1))
+	again := []byte(`{"service":"s","address":"10.0.0.1:1","zone":"z","version":"v2","capacity":1,"state":"ready","warmup_left_s":0,"sequence":99,"born":1}`)
+	c := s.difference([]platform.Row{{Key: "1", Value: again}, {Key: "odd", Value: []byte("y")}}, 2)
+	if len(c.Servers)+len(c.Removed) != 0 {
+		t.Errorf("changes: %v %v", c.Servers, c.Removed)
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
-	e.closers = append(e.closers, peers.Close, datagrams.Close)
+	e.closers = append(e.closers, peers.Close, datagrams.Close, e.store.Close)
 	e.post = news.New(news.Options{
 		Datagrams: datagrams, Dial: e.dialer(peerDialTimeout), Heard: e.heard, Answer: e.answerPeer, Count: e.count,
 	})
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 )
 
@@ -36,10 +38,26 @@
 	return left
 }
 
+// Kill ends the daemon at once, as a crash would. It is for tests.
+func (e *Edge) Kill() {
+	e.stopping.Store(true)
+	if err := e.front.app.ShutdownWithTimeout(time.Millisecond); err != nil {
+		e.log.WithError(err).Warn("requests cut")
+	}
+	e.close()
+}
+
 // close ends all background work.
 func (e *Edge) close() {
 	e.cancel()
 	for _, c := range e.closers {
-		_ = c()
+		if err := c(); err != nil && !errors.Is(err, net.ErrClosed) {
+			e.log.WithError(err).Warn("listener not closed")
+		}
+	}
+	if err := e.service.app.ShutdownWithTimeout(time.Millisecond); err != nil {
+		e.log.WithError(err).Warn("questions cut")
 	}
+	e.background.Wait()
+	e.tasks.Wait()
 }
--- a/io/logsink/logsink.go
+++ b/io/logsink/logsink.go
@@ -31,8 +31,10 @@
 	lines  chan []byte
 	bytes  atomic.Int64
 	out    io.Writer
-	done   chan struct{}
-	once   sync.Once
+	// ended asks the writer to write what waits and end; done is its reply.
+	ended chan struct{}
+	done  chan struct{}
+	once  sync.Once
 	// dropped counts lines by level since the last report of them.
 	dropped [logrus.TraceLevel + 1]atomic.Int64
 	total   atomic.Int64
@@ -42,7 +44,8 @@
 func New(out io.Writer) *Sink {
 	s := &Sink{
 		format: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano},
-		lines:  make(chan []byte, maxLines), out: out, done: make(chan struct{}),
+		lines:  make(chan []byte, maxLines), out: out,
+		ended: make(chan struct{}), done: make(chan struct{}),
 	}
 	go s.write()
 	return s
@@ -96,16 +99,38 @@
 
 func (s *Sink) write() {
 	defer close(s.done)
-	for line := range s.lines {
-		// A reader that is gone must not end the process; its lines are lost.
-		if _, err := s.out.Write(line); err != nil {
-			s.total.Add(1)
+	for {
+		select {
+		case line := <-s.lines:
+			s.put(line)
+		case <-s.ended:
+			s.flush()
+			return
 		}
-		s.bytes.Add(-int64(len(line)))
-		s.report()
 	}
 }
 
+// flush writes the lines that wait.
+func (s *Sink) flush() {
+	for {
+		select {
+		case line := <-s.lines:
+			s.put(line)
+		default:
+			return
+		}
+	}
+}
+
+func (s *Sink) put(line []byte) {
+	// A reader that is gone must not end the process; its lines are lost.
+	if _, err := s.out.Write(line); err != nil {
+		s.total.Add(1)
+	}
+	s.bytes.Add(-int64(len(line)))
+	s.report()
+}
+
 // report writes how many lines were dropped since the last report.
 func (s *Sink) report() {
 	for level := range s.dropped {
@@ -126,10 +151,10 @@
 	}
 }
 
-// Close writes the lines that wait, for at most the timeout. Nothing may be
-// logged after it.
+// Close writes the lines that wait, for at most the timeout. Later lines are
+// lost.
 func (s *Sink) Close(timeout time.Duration) {
-	s.once.Do(func() { close(s.lines) })
+	s.once.Do(func() { close(s.ended) })
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
