--- a/cmd/bilberrymux/config.go
+++ b/cmd/bilberrymux/config.go
@@ -14,6 +14,7 @@
 	"bilberrymux/core/settings"
 	"bilberrymux/io/admin"
 	"bilberrymux/io/versions"
+	"bilberrymux/platform"
 )
 
 const checkHelp = `Check a file without a daemon. With --settings it is the settings of a process,
@@ -23,16 +24,42 @@
   bilberrymux check examples/kalinis/config.json
   bilberrymux check --settings vm.json`
 
+// checkEdge checks a file of the users' platform.
+func (c *checkCommand) checkEdge() error {
+	if c.EdgeSettings {
+		if _, err := settings.LoadEdge(c.Args.File); err != nil {
+			return &exitError{exitUsage, err}
+		}
+		fmt.Println("ok")
+		return nil
+	}
+	body, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return &exitError{exitUsage, err}
+	}
+	cat, err := platform.DecodeConfig(body)
+	if err != nil {
+		return &exitError{exitUsage, err}
+	}
+	fmt.Printf("ok: version %d, %d services, %d routes\n", cat.Version, len(cat.Services), len(cat.Routes))
+	return nil
+}
+
 // checkCommand checks a file.
 type checkCommand struct {
-	Settings bool `long:"settings" description:"the file holds settings"`
-	Args     struct {
+	Settings     bool `long:"settings" description:"the file holds settings"`
+	EdgeSettings bool `long:"edge-settings" description:"the file holds settings of a daemon on the users' platform"`
+	EdgeConfig   bool `long:"edge-config" description:"the file holds a configuration as the platform's operators write it"`
+	Args         struct {
 		File string `positional-arg-name:"file"`
 	} `positional-args:"true" required:"true"`
 }
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
+	if c.EdgeSettings || c.EdgeConfig {
+		return c.checkEdge()
+	}
 	if c.Settings {
 		s, err := settings.Load(c.Args.File)
 		if err == nil {
--- a/cmd/bilberrymux/edge.go
+++ b/cmd/bilberrymux/edge.go
@@ -17,7 +17,10 @@
 
 const edgeHelp = `Run the daemon on the users' platform until SIGTERM or SIGINT, which begin a
 planned stop. The settings file is named by a flag, or by the environment
-variable that the platform sets. SIGHUP reads the file again.`
+variable that the platform sets. SIGHUP checks the file again.
+
+Example:
+  bilberrymux edge --settings vm.json`
 
 // edgeSettingsVariable names the settings file on the platform.
 const edgeSettingsVariable = "BILBERRYMUX_BOOT"
--- /dev/null
+++ b/cmd/bilberrymux/explain.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"bilberrymux/io/explain"
+)
+
+const explainHelp = `Tell what happened to one request, from the log files of all daemons.
+
+Example:
+  bilberrymux explain --request 9c41d07be2a35f68 logs/*.json`
+
+// explainCommand tells what happened to one request.
+type explainCommand struct {
+	Request string `short:"r" long:"request" description:"id of the request" required:"true"`
+	JSON    bool   `long:"json" description:"print JSON"`
+	Args    struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	var lines []explain.Line
+	for _, name := range c.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return &exitError{exitUsage, err}
+		}
+		read, err := explain.Read(f)
+		f.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, read...)
+	}
+	story, err := explain.Request(c.Request, lines)
+	if err != nil {
+		return err
+	}
+	if !c.JSON {
+		return story.Print(os.Stdout)
+	}
+	body, err := json.MarshalIndent(story, "", "  ")
+	if err != nil {
+		return fmt.Errorf("explain: %w", err)
+	}
+	fmt.Println(string(body))
+	return nil
+}
--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberrymux/core/catalog"
+	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
@@ -102,7 +103,7 @@
 	k.mu.Unlock()
 	k.options.Log.WithFields(logrus.Fields{
 		"version": c.Version, "before": before.Version, "routes": len(c.Routes), "source": source,
-	}).Info("configuration in force")
+	}).Info(event.Config)
 	k.options.Configured(c)
 }
 
@@ -134,7 +135,7 @@
 	next.Compare(before, func(s *roster.Server, change roster.Change) {
 		k.options.Log.WithFields(logrus.Fields{
 			"server": s.ID, "service": s.Service, "change": change, "stamp": c.Stamp, "source": source,
-		}).Info("backend server")
+		}).Info(event.Server)
 	})
 	k.options.Listed(now, next, before)
 	return true
--- a/io/discovery/run.go
+++ b/io/discovery/run.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"bilberrymux/io/loop"
+
+	"bilberrymux/core/event"
 )
 
 // The pace of reading.
@@ -56,13 +58,13 @@
 func (k *Keeper) outcome(err error) {
 	if err == nil {
 		if k.away {
-			k.options.Log.Info("store regained")
+			k.options.Log.Info(event.StoreRegained)
 		}
 		k.away, k.pause, k.nextRead = false, 0, time.Time{}
 		return
 	}
 	if !k.away {
-		k.options.Log.WithError(err).Warn("store lost")
+		k.options.Log.WithError(err).Warn(event.StoreLost)
 	}
 	k.away = true
 	k.pause = min(max(2*k.pause, leastPause), mostPause)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -21,6 +21,7 @@
 
 	"bilberrymux/core/belief"
 	"bilberrymux/core/budget"
+	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/poison"
 	"bilberrymux/core/settings"
@@ -158,7 +159,7 @@
 	e.background.Go(func() { e.gossip(ctx) })
 	e.log.WithFields(logrus.Fields{
 		"incarnation": e.members.Self().Incarnation, "zone": e.settings.Zone, "callers": e.settings.CallerAddress,
-	}).Info("started")
+	}).Info(event.Started)
 	return nil
 }
 
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bilberrymux/core/belief"
+	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
 	"bilberrymux/core/roster"
@@ -101,8 +102,8 @@
 				r.start(ctx)
 			}
 		case <-hedge.C:
-			if r.mayHedge() && r.start(ctx) {
-				r.edge.count("further.late")
+			if r.mayHedge() {
+				r.start(ctx)
 			}
 		case <-ctx.Done():
 			return nil, r.refuse(r.timedOut(ctx))
@@ -194,7 +195,7 @@
 func (r *run) mayRepeat(end ended) bool {
 	if end.outcome == belief.Unreachable {
 		if r.unreached < maxUnreached {
-			r.edge.count("further.unreached")
+			r.further(string(end.outcome))
 			return true
 		}
 		return false
@@ -205,12 +206,28 @@
 	if r.sends >= r.call.route.Attempts+1 || r.ran >= r.call.route.Attempts {
 		return false
 	}
-	if !r.edge.budget.Spend(r.call.service) {
-		r.edge.count("further.noBudget")
-		return false
+	return r.spend(string(end.outcome))
+}
+
+// spend takes a further attempt out of the budget, for a reason.
+func (r *run) spend(reason string) bool {
+	if r.edge.budget.Spend(r.call.service) {
+		r.further(reason)
+		return true
 	}
-	r.edge.count("further." + string(end.outcome))
-	return true
+	r.edge.count("further.noBudget")
+	r.edge.log.WithFields(logrus.Fields{
+		"request": r.call.id, "service": r.call.service, "reason": reason, "left": r.edge.budget.Left(r.call.service),
+	}).Warn(event.NoBudget)
+	return false
+}
+
+// further records why the request goes to one more server.
+func (r *run) further(reason string) {
+	r.edge.count("further." + reason)
+	r.edge.log.WithFields(logrus.Fields{
+		"request": r.call.id, "service": r.call.service, "reason": reason, "tried": len(r.tried),
+	}).Info(event.Further)
 }
 
 // hedgeAfter returns after what time a second attempt is started beside the
@@ -228,7 +245,7 @@
 	if !r.call.route.Idempotent || r.waiting != 1 || r.sends+r.waiting >= r.call.route.Attempts {
 		return false
 	}
-	return r.edge.budget.Spend(r.call.service)
+	return r.spend("late")
 }
 
 // attempt sends the request to one server and records what that says about it.
@@ -269,7 +286,7 @@
 	if err != nil {
 		fields["error"] = err.Error()
 	}
-	e.log.WithFields(fields).Warn("attempt failed")
+	e.log.WithFields(fields).Warn(event.AttemptFailed)
 }
 
 // outcomeOf reads the end of an exchange as evidence.
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bilberrymux/core/catalog"
+	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
 	"bilberrymux/io/hop"
@@ -153,7 +154,7 @@
 		"request": k.id, "route": k.route.Name, "service": k.service, "server": a.server, "status": a.response.StatusCode(),
 		"attempts": a.sends, "risk": a.risk, "evidenceAgeMillis": a.evidenceAge.Milliseconds(),
 		"version": k.version, "tookMillis": took.Milliseconds(),
-	}).Info("answered")
+	}).Info(event.Answered)
 	dst := c.Response()
 	closing := dst.ConnectionClose()
 	a.response.CopyTo(dst)
@@ -196,7 +197,7 @@
 	} else {
 		fields["request"] = string(c.Request().Header.Peek(platform.HeaderRequestID))
 	}
-	f.edge.log.WithFields(fields).Warn("refused")
+	f.edge.log.WithFields(fields).Warn(event.Refused)
 	status := answer.Status
 	if promises(status) && r.Outcome() == refusal.Unknown {
 		status = fasthttp.StatusBadGateway
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -13,6 +13,7 @@
 
 	"bilberrymux/core/belief"
 	"bilberrymux/core/catalog"
+	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
@@ -145,7 +146,7 @@
 
 func (e *Edge) tellZone(now time.Time) {
 	for _, m := range e.members.Expire(now) {
-		e.log.WithFields(logrus.Fields{"daemon": m.VM, "silentMillis": zone.SilentAfter.Milliseconds()}).Warn("daemon down")
+		e.log.WithFields(logrus.Fields{"daemon": m.VM, "silentMillis": zone.SilentAfter.Milliseconds()}).Warn(event.DaemonDown)
 	}
 	m := e.message(now)
 	m.Reports = e.book.Reports(now, reportAge, maxReports)
@@ -181,7 +182,7 @@
 func (e *Edge) beliefChanged(s roster.Server, risk float64, o belief.Outcome) {
 	e.log.WithFields(logrus.Fields{
 		"server": s.ID, "service": s.Service, "risk": risk, "outcome": o,
-	}).Info("belief about a server changed")
+	}).Info(event.Belief)
 	e.count("belief.changed")
 	e.hurry()
 	e.tasks.Go(func() { e.tellOthers(s.Key()) })
@@ -208,7 +209,7 @@
 		m.From.Ready = false
 	}
 	if e.members.Hear(now, m.From) && own {
-		e.log.WithFields(logrus.Fields{"daemon": m.From.VM, "incarnation": m.From.Incarnation}).Info("daemon up")
+		e.log.WithFields(logrus.Fields{"daemon": m.From.VM, "incarnation": m.From.Incarnation}).Info(event.DaemonUp)
 	}
 	from := m.From.VM
 	if !own {
@@ -218,7 +219,7 @@
 		if e.book.Hear(now, from, r) {
 			e.log.WithFields(logrus.Fields{
 				"server": r.ID, "risk": r.Risk, "from": m.From.VM, "ageMillis": r.AgeMillis,
-			}).Info("belief about a server heard")
+			}).Info(event.BeliefHeard)
 		}
 	}
 	e.takeCrashes(now, m.Crashes)
@@ -344,7 +345,7 @@
 			e.count("poison.quarantined")
 			e.log.WithFields(logrus.Fields{
 				"service": q.Service, "fingerprint": strconv.FormatUint(uint64(q.Fingerprint), 16), "servers": q.Servers,
-			}).Warn("request quarantined")
+			}).Warn(event.Quarantined)
 		}
 	}
 }
--- a/io/edge/listen.go
+++ b/io/edge/listen.go
@@ -95,6 +95,7 @@
 }
 
 func (s *service) metrics(c *fiber.Ctx) error {
+	s.edge.gauges()
 	text, err := exposition.Text(s.edge.registry)
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"bilberrymux/core/event"
 )
 
 // The phases of a planned stop.
@@ -24,7 +26,7 @@
 		return 0
 	}
 	begin, grace := time.Now(), e.settings.Bounds.Grace.Duration()
-	e.log.WithField("inFlight", e.inFlight.Load()).Info("stopping")
+	e.log.WithField("inFlight", e.inFlight.Load()).Info(event.Stopping)
 	e.hurry()
 	time.Sleep(time.Duration(lingerPart * float64(grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-stopMargin))
@@ -33,7 +35,7 @@
 		e.log.WithError(err).Warn("callers' listener not closed in time")
 	}
 	left := e.inFlight.Load()
-	e.log.WithField("left", left).Info("stopped")
+	e.log.WithField("left", left).Info(event.Stopped)
 	e.close()
 	return left
 }
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
+
 	"bilberrymux/core/belief"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
@@ -23,3 +25,19 @@
 func (e *Edge) Beliefs() []belief.View {
 	return e.book.Views(time.Now())
 }
+
+// gauges brings the gauges up to date.
+func (e *Edge) gauges() {
+	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, e.registry).Update(value) }
+	set("config.version", int64(e.Version()))
+	set("servers.listed", int64(len(e.Servers())))
+	set("requests.inFlight", e.inFlight.Load())
+	set("connections.servers", e.backend.Open())
+	set("daemons.live", int64(len(e.members.Live())+1))
+	for id := range e.keeper.Catalog().Services {
+		set("budget."+string(id), int64(e.budget.Left(id)))
+	}
+	if e.options.LogDropped != nil {
+		set("log.dropped", e.options.LogDropped())
+	}
+}
