--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// TestOperationsNamesEveryEdgeSetting compares the platform's settings with their
+// page.
+func TestOperationsNamesEveryEdgeSetting(t *testing.T) {
+	text := page(t, "OPERATIONS.md")
+	for _, kind := range []reflect.Type{reflect.TypeFor[settings.Edge](), reflect.TypeFor[settings.Bounds]()} {
+		for field := range kind.Fields() {
+			if name := field.Tag.Get("json"); name != "bounds" && !strings.Contains(text, "`"+name+"`") && !strings.Contains(text, "."+name+"`") {
+				t.Errorf("OPERATIONS.md lacks %s", name)
+			}
+		}
+	}
+}
+
 // TestCallersNamesEveryRefusal compares the refusals that callers get with
 // their page.
 func TestCallersNamesEveryRefusal(t *testing.T) {
