The budget of further attempts does not begin empty at the very first start

Change: at the first start of the whole system each daemon may spend two; restarts begin empty as before.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -18,6 +18,8 @@
 	PerSecond float64
 	// Burst is the most further arrivals that may be saved up.
 	Burst float64
+	// Start is what a service's budget begins with.
+	Start float64
 }
 
 // maxGap bounds the time that one request earns for, so that a daemon which
@@ -29,8 +31,9 @@
 	last   time.Time
 }
 
-// Budget is a token bucket for each service. A new one is empty, so that a
-// process that restarts often never spends more than its requests earn. It is
+// Budget is a token bucket for each service. A process that may have had an
+// earlier incarnation begins with an empty one, so that restarts never spend more
+// than requests earn. It is
 // safe for concurrent use.
 type Budget struct {
 	mu      sync.Mutex
@@ -56,7 +59,7 @@
 	defer b.mu.Unlock()
 	k := b.buckets[service]
 	if k == nil {
-		k = &bucket{last: now}
+		k = &bucket{last: now, tokens: min(b.options.Start, b.options.Burst)}
 		b.buckets[service] = k
 	}
 	gap := min(max(0, now.Sub(k.last)), maxGap)
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -49,7 +49,10 @@
 	MemoryMB int `json:"memoryMb"`
 	// CPUShare is the part of a core that the VM has.
 	CPUShare float64 `json:"cpuShare"`
-	Bounds   Bounds  `json:"bounds"`
+	// Bootstrap says that the whole system starts for the first time, so that no
+	// earlier process can have spent what this one may.
+	Bootstrap bool   `json:"bootstrap"`
+	Bounds    Bounds `json:"bounds"`
 	// LogLevel is error, warn, info or debug.
 	LogLevel string `json:"logLevel"`
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -218,7 +218,7 @@
 	ratioPart = 0.9
 	// burstPart and flowPart are the parts of the reserve that may be spent at
 	// once, and over a window.
-	burstPart = 0.45
+	burstPart = 0.5
 	flowPart  = 0.45
 )
 
@@ -226,13 +226,21 @@
 // callers of a host are sent to, so many in each zone, share the reserve.
 func budgetOptions(s *settings.Edge, owners int) budget.Options {
 	reserve := s.Bounds.FurtherReserve / float64(owners*len(s.Zones))
-	return budget.Options{
+	o := budget.Options{
 		Ratio:     s.Bounds.FurtherRatio * ratioPart,
 		PerSecond: flowPart * reserve / float64(s.Bounds.FurtherWindow),
 		Burst:     max(1, burstPart*reserve),
 	}
+	if s.Bootstrap {
+		o.Start = bootstrapStart
+	}
+	return o
 }
 
+// bootstrapStart is what each daemon may spend at the first start of the whole
+// system, before requests earned anything.
+const bootstrapStart = 2
+
 // owners returns the number of daemons of this zone that the callers of one host
 // are sent to.
 func (e *Edge) owners() int {
