Readers hand over at once and strong VMs read first; repeatable work goes to every server

Change: a daemon that stops comes last in the order, the next reads 0.3 s late, VMs that can carry more come first; requests that can be sent again reach every server of a large service once in 1.2 s.

--- a/cmd/bilberrymux/edge_test.go
+++ b/cmd/bilberrymux/edge_test.go
@@ -7,7 +7,7 @@
 
 const edgeSettings = `{"vm":"a-1","zone":"a","region":"north","zones":{"a":"north"},"ip":"127.0.0.1",
 "callerAddress":"127.0.0.1:1","readyAddress":"127.0.0.1:2","locateAddress":"127.0.0.1:3","peerPorts":[7620,7635],
-"seeds":[],"metricsPort":9464,"store":"127.0.0.1:4","memoryMb":284,"cpuShare":0.32,
+"seeds":[],"metricsPort":9464,"store":"127.0.0.1:4","memoryMb":284,"cpuShare":0.32,"linkMbps":1000,
 "bounds":{"grace":6,"drain":2,"config":2,"locateLifetime":5,"furtherRatio":0.2,"furtherReserve":56,"furtherWindow":10,"floorShare":0.7}}`
 
 func TestEdgeSettingsAreChecked(t *testing.T) {
--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -59,8 +59,9 @@
 }
 
 // floorDue returns the server of the own zone that must get work so that the
-// service keeps its floor, or nil. The floor is made of the servers with the
-// least risk; each zone looks after its own ones.
+// service keeps its floor, or nil. The floor is made of all servers for requests
+// that can be sent again, else of those with the least risk; each zone looks after
+// its own ones.
 func (b *Book) floorDue(now time.Time, ask *Ask) *roster.Server {
 	if len(ask.Servers) == 0 || len(ask.Tried) > 0 {
 		return nil
@@ -81,8 +82,12 @@
 		}
 	}
 	slices.SortStableFunc(all, func(x, y rated) int { return cmp.Compare(x.risk, y.risk) })
-	size := int(math.Ceil((b.options.FloorShare + floorMargin) * float64(len(all))))
-	for _, r := range all[:min(size, len(all))] {
+	size := len(all)
+	if !ask.Idempotent || ask.Last {
+		// A request that can't be sent again stays off those most likely sick.
+		size = min(size, int(math.Ceil((b.options.FloorShare+floorMargin)*float64(size))))
+	}
+	for _, r := range all[:size] {
 		idle := now.Sub(r.state.picked) > floorPeriod && now.Sub(r.state.at) > floorPeriod
 		usable := len(r.state.active) == 0 && !now.Before(r.state.pathUntil) && !r.state.misdirected
 		if r.server.Zone == b.options.Zone && idle && usable {
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -49,6 +49,8 @@
 	MemoryMB int `json:"memoryMb"`
 	// CPUShare is the part of a core that the VM has.
 	CPUShare float64 `json:"cpuShare"`
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s.
+	LinkMbps float64 `json:"linkMbps"`
 	// Bootstrap says that the whole system starts for the first time, so that no
 	// earlier process can have spent what this one may.
 	Bootstrap bool   `json:"bootstrap"`
@@ -138,6 +140,7 @@
 	}{
 		{"memoryMb", float64(s.MemoryMB)},
 		{"cpuShare", s.CPUShare},
+		{"linkMbps", s.LinkMbps},
 		{"bounds.grace", float64(s.Bounds.Grace)},
 		{"bounds.drain", float64(s.Bounds.Drain)},
 		{"bounds.config", float64(s.Bounds.Config)},
--- a/core/zone/zone.go
+++ b/core/zone/zone.go
@@ -27,7 +27,8 @@
 	Started int64 `cbor:"6,keyasint" json:"started"`
 	// Ready says that callers may be sent to it.
 	Ready bool `cbor:"7,keyasint,omitempty" json:"ready"`
-	// Capacity is the share of a core that the VM has.
+	// Capacity is the share of a core that the VM has, or less where its link
+	// carries less.
 	Capacity float64 `cbor:"8,keyasint,omitempty" json:"capacity"`
 }
 
@@ -149,18 +150,30 @@
 }
 
 // Rank returns the place of this daemon among the live ones of its zone in the
-// order of a key, from 0.
+// order of a key, from 0. Those that can carry more come first, and one that is not
+// ready comes after all that are.
 func (t *Table) Rank(key string) int {
-	own := score(t.Self().VM, key)
+	self := t.Self()
 	rank := 0
 	for _, m := range t.Live() {
-		if score(m.VM, key) > own {
+		if m.before(&self, key) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// before reports whether a daemon comes before another in the order of a key.
+func (m *Member) before(o *Member, key string) bool {
+	if m.Ready != o.Ready {
+		return m.Ready
+	}
+	if m.Capacity != o.Capacity {
+		return m.Capacity > o.Capacity
+	}
+	return score(m.VM, key) > score(o.VM, key)
+}
+
 // Owners returns the n live daemons of the own zone that callers of a key should
 // use, the first one first. Every daemon of the zone finds the same ones from
 // the same view. Where none is ready, this daemon stands in.
--- a/core/zone/zone_test.go
+++ b/core/zone/zone_test.go
@@ -108,6 +108,32 @@
 	}
 }
 
+// TestReadersHandOverAtOnce checks the order of readers: each daemon has a place of
+// its own, strong VMs come first, and one that stops goes last.
+func TestReadersHandOverAtOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	all := []Member{member("a", "1", 1), member("a", "2", 1), member("a", "3", 1)}
+	all[1].Capacity = 0.9
+	ranks := func() []int {
+		var out []int
+		for i := range all {
+			table := New(all[i])
+			for _, m := range all {
+				table.Hear(now, m)
+			}
+			out = append(out, table.Rank("reader"))
+		}
+		return out
+	}
+	if got := ranks(); got[1] != 0 || got[0]+got[2] != 3 {
+		t.Errorf("ranks %v", got)
+	}
+	all[1].Ready = false
+	if got := ranks(); got[1] != 2 || got[0]+got[2] != 1 {
+		t.Errorf("ranks while the strongest stops: %v", got)
+	}
+}
+
 func TestUnreadyDaemonStandsInAlone(t *testing.T) {
 	self := member("a", "1", 1)
 	self.Ready = false
--- a/io/discovery/run.go
+++ b/io/discovery/run.go
@@ -17,8 +17,8 @@
 	readPart = 0.4
 	// readSlack is how much longer the second reader waits, and readStep how
 	// much longer each further one.
-	readSlack = 500 * time.Millisecond
-	readStep  = 200 * time.Millisecond
+	readSlack = 300 * time.Millisecond
+	readStep  = 150 * time.Millisecond
 	// readTick is how often the age is looked at.
 	readTick = 50 * time.Millisecond
 	// A failed read is tried again after leastPause, doubled up to mostPause.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -86,6 +86,9 @@
 	failed     chan error
 }
 
+// linkPerCore is the bandwidth in Mbit/s that a daemon with a whole core can use.
+const linkPerCore = 250
+
 // memoryShare is the part of the VM's memory from which the garbage collector
 // works harder.
 const memoryShare = 0.6
@@ -109,7 +112,7 @@
 	e.members = zone.New(zone.Member{
 		VM: s.VM, Incarnation: ident.Incarnation(string(s.VM) + "~" + uuid.NewString()[:8]), Zone: s.Zone,
 		PeerAddress: e.peerAddress(), CallerAddress: s.CallerAddress, Started: time.Now().UnixMicro(),
-		Capacity: s.CPUShare,
+		Capacity: min(s.CPUShare, s.LinkMbps/linkPerCore),
 	})
 	e.book = belief.New(belief.Options{Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, Changed: e.beliefChanged})
 	e.budget = budget.New(budgetOptions(s, leastOwners))
--- a/io/standin/gridfleet/gridfleet.go
+++ b/io/standin/gridfleet/gridfleet.go
@@ -159,7 +159,7 @@
 		VM: ident.VMID(fmt.Sprintf("%s-%d", name, n+1)), Zone: name, Region: ident.RegionID(name), Zones: zones,
 		IP: own, CallerAddress: at(portCallers), ReadyAddress: at(portReady), LocateAddress: at(portLocate),
 		PeerPorts: []int{portPeers, portPeers}, Seeds: []string{ip(0, 0) + ":1", ip(0, 1) + ":1"},
-		MetricsPort: portMetrics, Store: f.Address, MemoryMB: 256, CPUShare: 0.5, LogLevel: "info",
+		MetricsPort: portMetrics, Store: f.Address, MemoryMB: 256, CPUShare: 0.5, LinkMbps: 1000, LogLevel: "info",
 		Bounds: settings.Bounds{
 			Grace: settings.Seconds(grace.Seconds()), Drain: 2, Config: 2, LocateLifetime: 5,
 			FurtherRatio: 0.2, FurtherReserve: 56, FurtherWindow: 10, FloorShare: 0.7,
