A request without budget for another attempt counts as its last one; floor duties spread

Change: each daemon waits 1 to 1.8 s, by server and daemon; a repeatable request without budget goes to the server with the best chance.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -139,6 +139,8 @@
 	Zone ident.ZoneID
 	// Regions names the region of each availability zone.
 	Regions map[ident.ZoneID]ident.RegionID
+	// Seed tells the daemons of a zone apart.
+	Seed uint64
 	// FloorShare is the part of a service's servers that stays in use while
 	// some of its requests fail.
 	FloorShare float64
--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
 )
@@ -21,8 +23,11 @@
 	// floorAlways is the number of servers from which the floor counts at all
 	// times: the load alone keeps a few servers in use, but not many.
 	floorAlways = 16
-	// floorPeriod is how long a server of the floor may go without work.
-	floorPeriod = 1200 * time.Millisecond
+	// floorPeriod is how long a server of the floor may go without work, and
+	// floorSpread what is added at most, by server and daemon, so that the daemons
+	// of a zone don't do the same at the same time.
+	floorPeriod = time.Second
+	floorSpread = 800 * time.Millisecond
 	// lossTime is the time constant of the running share of lost requests.
 	lossTime = 2 * time.Second
 )
@@ -88,7 +93,8 @@
 		size = min(size, int(math.Ceil((b.options.FloorShare+floorMargin)*float64(size))))
 	}
 	for _, r := range all[:size] {
-		idle := now.Sub(r.state.picked) > floorPeriod && now.Sub(r.state.at) > floorPeriod
+		wait := b.floorWait(r.server.ID)
+		idle := now.Sub(r.state.picked) > wait && now.Sub(r.state.at) > wait
 		usable := len(r.state.active) == 0 && !now.Before(r.state.pathUntil) && !r.state.misdirected
 		if r.server.Zone == b.options.Zone && idle && usable {
 			return r.server
@@ -96,3 +102,12 @@
 	}
 	return nil
 }
+
+// floorWait returns how long this daemon lets a server of the floor go without
+// work.
+func (b *Book) floorWait(id ident.ServerID) time.Duration {
+	var d xxhash.Digest
+	d.ResetWithSeed(b.options.Seed)
+	_, _ = d.WriteString(string(id))
+	return floorPeriod + time.Duration(d.Sum64()%uint64(floorSpread))
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -114,7 +115,7 @@
 		PeerAddress: e.peerAddress(), CallerAddress: s.CallerAddress, Started: time.Now().UnixMicro(),
 		Capacity: min(s.CPUShare, s.LinkMbps/linkPerCore),
 	})
-	e.book = belief.New(belief.Options{Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, Changed: e.beliefChanged})
+	e.book = belief.New(belief.Options{Seed: xxhash.Sum64String(string(s.VM)), Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, Changed: e.beliefChanged})
 	e.budget = budget.New(budgetOptions(s, leastOwners))
 	e.backend = backend.New(e.dialer(serverDialTimeout))
 	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string) {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -137,7 +137,7 @@
 	e, k := r.edge, r.call
 	a := e.book.Pick(time.Now(), &belief.Ask{
 		Servers: e.keeper.Roster().Of(k.service), Route: k.route.Name, Target: k.route.Target, Idempotent: k.route.Idempotent,
-		Last: r.sends+1 >= k.route.Attempts, Tried: r.tried,
+		Last: r.sends+1 >= k.route.Attempts || e.budget.Left(k.service) < 1, Tried: r.tried,
 	})
 	if a == nil {
 		return false
