--- a/cmd/bilberrymux/edge.go
+++ b/cmd/bilberrymux/edge.go
@@ -13,6 +13,7 @@
 	"bilberrymux/core/settings"
 	"bilberrymux/io/edge"
 	"bilberrymux/io/logsink"
+	"bilberrymux/platform"
 )
 
 const edgeHelp = `Run the daemon on the users' platform until SIGTERM or SIGINT, which begin a
@@ -22,12 +23,9 @@
 Example:
   bilberrymux edge --settings vm.json`
 
-// edgeSettingsVariable names the settings file on the platform.
-const edgeSettingsVariable = "BILBERRYMUX_BOOT"
-
 // edgeCommand runs the daemon on the users' platform.
 type edgeCommand struct {
-	SettingsFile string `short:"s" long:"settings" description:"settings file" env:"BILBERRYMUX_BOOT"`
+	SettingsFile string `short:"s" long:"settings" description:"settings file"`
 }
 
 // logFlush bounds the writing of the last log lines.
@@ -36,7 +34,10 @@
 // Execute implements flags.Commander.
 func (c *edgeCommand) Execute([]string) error {
 	if c.SettingsFile == "" {
-		return &exitError{exitUsage, fmt.Errorf("no settings file: give --settings or set %s", edgeSettingsVariable)}
+		c.SettingsFile = os.Getenv(platform.SettingsVariable)
+	}
+	if c.SettingsFile == "" {
+		return &exitError{exitUsage, fmt.Errorf("no settings file: give --settings or set %s", platform.SettingsVariable)}
 	}
 	s, err := settings.LoadEdge(c.SettingsFile)
 	if err != nil {
--- a/io/discovery/discovery_test.go
+++ b/io/discovery/discovery_test.go
@@ -30,17 +30,15 @@
 
 func startStore(t *testing.T) (*rowstore.Server, *platform.Store) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	server, address, stop, err := rowstore.Start(rowstore.Options{Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := rowstore.New(rowstore.Options{Seed: 1})
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { l.Close(); server.Close() })
+	t.Cleanup(stop)
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
-	return server, platform.NewStore(l.Addr().String(), dial, func(string, string) {})
+	return server, platform.NewStore(address, dial, func(string, string) {})
 }
 
 // TestAgesThatArePassedOnDoNotStayYoung lets two daemons tell each other of a list
--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"bilberrymux/platform"
 )
 
 // The pace of callers.
@@ -63,7 +65,7 @@
 	for range 3 {
 		p := c.world.daemons[c.random.IntN(len(c.world.daemons))]
 		client := http.Client{Timeout: askTimeout}
-		resp, err := client.Get("http://" + p.settings.LocateAddress + "/-/resolve?name=" + hosts[0])
+		resp, err := client.Get("http://" + p.settings.LocateAddress + platform.PathLocate + "?name=" + hosts[0])
 		if err != nil {
 			continue
 		}
@@ -96,8 +98,8 @@
 		panic(err)
 	}
 	req.Host = hosts[kind]
-	req.Header.Set("Bilberrymux-Request-Id", id)
-	req.Header.Set("Bilberrymux-Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(callerDeadline.Milliseconds()))
 	resp, err := c.client.Do(req)
 	if err == nil {
 		s.read(resp)
@@ -125,6 +127,6 @@
 	}
 	s.Status = resp.StatusCode
 	s.Whole = strings.HasPrefix(string(text), "answer of ") && strings.HasSuffix(string(text), " to "+s.ID)
-	s.Own = resp.Header.Get("Bilberrymux-Request-Id") == s.ID
-	s.Signed = resp.Header.Get("Bilberrymux-Response-Signature") == "s."+s.ID
+	s.Own = resp.Header.Get(platform.HeaderRequestID) == s.ID
+	s.Signed = resp.Header.Get(platform.HeaderSignature) == "s."+s.ID
 }
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -18,6 +18,7 @@
 	"bilberrymux/io/standin/chaosproxy"
 	"bilberrymux/io/standin/gridfleet"
 	"bilberrymux/io/standin/gridserver"
+	"bilberrymux/platform"
 )
 
 // Options describe one run.
@@ -126,7 +127,7 @@
 		}
 	}
 	for range 200 {
-		if resp, err := http.Get("http://" + w.daemons[0].settings.ReadyAddress + "/-/readyz"); err == nil {
+		if resp, err := http.Get("http://" + w.daemons[0].settings.ReadyAddress + platform.PathReady); err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
 				return nil
--- a/io/standin/gridfleet/gridfleet.go
+++ b/io/standin/gridfleet/gridfleet.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"sync"
 	"time"
@@ -63,9 +62,10 @@
 	options Options
 	Store   *rowstore.Server
 	Address string
+	// stopStore ends the store.
+	stopStore func()
 
 	mu       sync.Mutex
-	store    net.Listener
 	version  uint64
 	servers  map[string]*Entry
 	stop     chan struct{}
@@ -110,12 +110,12 @@
 
 // Start brings up the store and the daemons. The caller must Stop the fleet.
 func Start(o Options) (*Fleet, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	store, address, stop, err := rowstore.Start(rowstore.Options{Seed: 1})
 	if err != nil {
 		return nil, fmt.Errorf("gridfleet: %w", err)
 	}
 	f := &Fleet{
-		options: o, Store: rowstore.New(rowstore.Options{Seed: 1}), Address: l.Addr().String(), store: l,
+		options: o, Store: store, Address: address, stopStore: stop,
 		servers: map[string]*Entry{}, stop: make(chan struct{}),
 	}
 	if o.Through != nil {
@@ -123,7 +123,6 @@
 			return nil, err
 		}
 	}
-	go func() { _ = f.Store.Serve(l) }()
 	go f.report()
 	for z := range o.Zones {
 		for n := range o.DaemonsPerZone {
@@ -303,6 +302,5 @@
 	for _, e := range servers {
 		e.server.Stop()
 	}
-	f.store.Close()
-	f.Store.Close()
+	f.stopStore()
 }
--- a/io/standin/rowstore/rowstore.go
+++ b/io/standin/rowstore/rowstore.go
@@ -93,6 +93,17 @@
 	return s
 }
 
+// Start serves a new store on loopback and returns its address. Stop ends it.
+func Start(o Options) (s *Server, address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", nil, fmt.Errorf("rowstore: %w", err)
+	}
+	s = New(o)
+	go func() { _ = s.Serve(l) }()
+	return s, l.Addr().String(), func() { l.Close(); s.Close() }, nil
+}
+
 // quiet drops the library's lines about connections that faults cut.
 type quiet struct{}
 
