A stop leaves time for the end of the process

Change: 0.7 s; requests that came in the first half of the grace have 2.3 s at least, and what is cut later lies in the grace's last sixth.

--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -16,7 +16,7 @@
 	// requests under way.
 	lingerPart = 0.5
 	// stopMargin is how long before the end by force the daemon is gone.
-	stopMargin = 250 * time.Millisecond
+	stopMargin = 700 * time.Millisecond
 )
 
 // Stop ends the daemon by plan: it is no longer offered to callers, answers what
