--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,88 @@
+// Command soak runs daemons as processes, harms them as seeds say, and checks the
+// promises. Exit codes: 0 nothing broken, 1 a promise broken or a run failed,
+// 2 bad usage.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"bilberrymux/io/soak"
+)
+
+type options struct {
+	Binary  string        `long:"binary" description:"the daemon's program" required:"true"`
+	Seed    []uint64      `long:"seed" description:"seed of a run; repeat for more" required:"true"`
+	Daemons int           `long:"daemons" description:"daemons in each of two zones" default:"4"`
+	Callers int           `long:"callers" description:"callers" default:"12"`
+	Length  time.Duration `long:"length" description:"time with faults" default:"14s"`
+	Tail    time.Duration `long:"tail" description:"time without faults after it" default:"17s"`
+	JSON    bool          `long:"json" description:"print JSON"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	broken := false
+	for _, seed := range o.Seed {
+		ok, err := run(&o, seed)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		broken = broken || !ok
+	}
+	if broken {
+		os.Exit(1)
+	}
+}
+
+// run plays one seed and reports whether nothing was broken. The files of a
+// broken run stay.
+func run(o *options, seed uint64) (bool, error) {
+	folder, err := soak.Folder(seed)
+	if err != nil {
+		return false, err
+	}
+	r, err := soak.Play(soak.Options{
+		Seed: seed, Binary: o.Binary, Folder: folder, DaemonsPerZone: o.Daemons, Callers: o.Callers, Length: o.Length, Tail: o.Tail,
+	})
+	if err != nil {
+		return false, fmt.Errorf("seed %d: %w; files in %s", seed, err, folder)
+	}
+	if err := show(o, r, folder); err != nil {
+		return false, err
+	}
+	if len(r.Violations) > 0 {
+		return false, nil
+	}
+	return true, os.RemoveAll(folder)
+}
+
+func show(o *options, r *soak.Report, folder string) error {
+	if o.JSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	fmt.Printf("seed %d: %d of %d requests served, %d faults, %d promises broken\n", r.Seed, r.Served, r.Sends, len(r.Faults), len(r.Violations))
+	if len(r.Violations) == 0 {
+		return nil
+	}
+	fmt.Println("  files in", folder)
+	for _, v := range r.Violations {
+		fmt.Printf("  %s: %s\n", v.Promise, v.What)
+	}
+	for _, e := range r.Faults {
+		fmt.Printf("  %7.3f s  %s\n", e.At, e.What)
+	}
+	return nil
+}
--- a/core/belief/belief_test.go
+++ b/core/belief/belief_test.go
@@ -187,6 +187,28 @@
 	}
 }
 
+// TestManyServersStayInUse checks that with many sound servers none of the floor
+// goes without work, although nothing is lost.
+func TestManyServersStayInUse(t *testing.T) {
+	s := newScript(t)
+	var list []string
+	for n := range 24 {
+		list = append(list, "s"+strconv.Itoa(n)+":a1:2")
+	}
+	s.list(list)
+	s.book.End(s.now, &Attempt{Server: s.server("s0")}, Good, time.Millisecond)
+	used := map[ident.ServerID]bool{}
+	for range 100 {
+		s.now = s.now.Add(20 * time.Millisecond)
+		a := s.book.Pick(s.now, &Ask{Servers: s.roster.Of("svc"), Route: "r", Target: time.Second})
+		used[a.Server.ID] = true
+		s.book.End(s.now, a, Good, time.Millisecond)
+	}
+	if len(used) < 17 {
+		t.Errorf("%d of 24 servers got work in 2 s", len(used))
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	book := New(Options{Zone: "a1", Changed: func(roster.Server, float64, Outcome) {}})
 	var servers []roster.Server
--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -18,6 +18,9 @@
 	distressFrom = 0.06
 	// floorMargin is added to the share of servers that must stay in use.
 	floorMargin = 0.05
+	// floorAlways is the number of servers from which the floor counts at all
+	// times: the load alone keeps a few servers in use, but not many.
+	floorAlways = 16
 	// floorPeriod is how long a server of the floor may go without work.
 	floorPeriod = 1200 * time.Millisecond
 	// lossTime is the time constant of the running share of lost requests.
@@ -59,7 +62,10 @@
 // service keeps its floor, or nil. The floor is made of the servers with the
 // least risk; each zone looks after its own ones.
 func (b *Book) floorDue(now time.Time, ask *Ask) *roster.Server {
-	if len(ask.Servers) == 0 || len(ask.Tried) > 0 || !b.lossOf(ask.Servers[0].Service).distressed() {
+	if len(ask.Servers) == 0 || len(ask.Tried) > 0 {
+		return nil
+	}
+	if len(ask.Servers) < floorAlways && !b.lossOf(ask.Servers[0].Service).distressed() {
 		return nil
 	}
 	type rated struct {
--- a/core/settings/edge.go
+++ b/core/settings/edge.go
@@ -108,8 +108,10 @@
 		add("ip", "must be an IP number, is %q", s.IP)
 	}
 	addresses := []struct{ field, value string }{
-		{"callerAddress", s.CallerAddress}, {"readyAddress", s.ReadyAddress},
-		{"locateAddress", s.LocateAddress}, {"store", s.Store},
+		{"callerAddress", s.CallerAddress},
+		{"readyAddress", s.ReadyAddress},
+		{"locateAddress", s.LocateAddress},
+		{"store", s.Store},
 	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
--- a/io/news/rpc.go
+++ b/io/news/rpc.go
@@ -28,13 +28,12 @@
 	if n != 0 {
 		return "", nil, nil, nil, false
 	}
-	return stateCall, encoding{}, receiveState, (*server).State, true
-}
-
-func receiveState(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
-	r, ok := in1.(*StateRequest)
-	if !ok {
-		return nil, fmt.Errorf("news: unexpected message %T", in1)
+	receive := func(srv any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+		r, ok := in1.(*StateRequest)
+		if !ok {
+			return nil, fmt.Errorf("news: unexpected message %T", in1)
+		}
+		return srv.(*server).State(ctx, r)
 	}
-	return srv.(*server).State(ctx, r)
+	return stateCall, encoding{}, receive, (*server).State, true
 }
--- /dev/null
+++ b/io/soak/callers.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// The pace of callers.
+const (
+	// callerPause is the mean pause between two requests of one caller.
+	callerPause = 25 * time.Millisecond
+	// askAgain is how long a caller keeps a locate answer.
+	askAgain = 2 * time.Second
+	// askTimeout bounds one locate call.
+	askTimeout = time.Second
+	// callerDeadline is the time that a caller gives a request.
+	callerDeadline = 3 * time.Second
+)
+
+// caller sends requests one after the other on connections that it keeps.
+type caller struct {
+	world     *world
+	name      string
+	random    *rand.Rand
+	client    *http.Client
+	addresses []string
+	asked     time.Time
+	sends     []Send
+}
+
+func newCaller(w *world, n int, seed uint64) *caller {
+	return &caller{
+		world: w, name: fmt.Sprintf("c%d", n), random: rand.New(rand.NewPCG(seed, uint64(n))),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+	}
+}
+
+// run sends until the context ends.
+func (c *caller) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		if time.Since(c.asked) > askAgain {
+			c.ask()
+		}
+		if len(c.addresses) > 0 {
+			c.sends = append(c.sends, c.send(fmt.Sprintf("%s-%d", c.name, n)))
+		}
+		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(callerPause)))
+	}
+	c.client.CloseIdleConnections()
+}
+
+// ask learns addresses from up to three daemons; an old answer is kept for want
+// of a new one.
+func (c *caller) ask() {
+	for range 3 {
+		p := c.world.daemons[c.random.IntN(len(c.world.daemons))]
+		client := http.Client{Timeout: askTimeout}
+		resp, err := client.Get("http://" + p.settings.LocateAddress + "/-/resolve?name=" + hosts[0])
+		if err != nil {
+			continue
+		}
+		var body struct {
+			Addresses []string `json:"addresses"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&body)
+		resp.Body.Close()
+		if err == nil && len(body.Addresses) > 0 {
+			c.addresses, c.asked = body.Addresses, time.Now()
+			return
+		}
+	}
+}
+
+// send makes one request and notes its end.
+func (c *caller) send(id string) Send {
+	address := c.addresses[c.random.IntN(len(c.addresses))]
+	p := c.world.byAddress[address]
+	kind := c.random.IntN(len(hosts))
+	s := Send{ID: id, Daemon: p.name, Once: kind == 1, Begun: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
+	defer cancel()
+	method, body := http.MethodGet, ""
+	if s.Once {
+		method, body = http.MethodPost, "order "+id
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/x/"+id, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Host = hosts[kind]
+	req.Header.Set("Bilberrymux-Request-Id", id)
+	req.Header.Set("Bilberrymux-Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
+	resp, err := c.client.Do(req)
+	if err == nil {
+		s.read(resp)
+	} else {
+		s.Error = err.Error()
+		var op *net.OpError
+		s.DialFailed = errors.As(err, &op) && op.Op == "dial"
+	}
+	s.Ended = time.Now()
+	s.DaemonStops, s.DaemonHarmed = p.state(s.Begun, s.Ended)
+	if ctx.Err() != nil {
+		// The caller gave up; its daemon owes it nothing more.
+		s.DialFailed = true
+	}
+	return s
+}
+
+// read takes in an answer.
+func (s *Send) read(resp *http.Response) {
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.Error = err.Error()
+		return
+	}
+	s.Status = resp.StatusCode
+	s.Whole = strings.HasPrefix(string(text), "answer of ") && strings.HasSuffix(string(text), " to "+s.ID)
+	s.Own = resp.Header.Get("Bilberrymux-Request-Id") == s.ID
+	s.Signed = resp.Header.Get("Bilberrymux-Response-Signature") == "s."+s.ID
+}
--- a/io/standin/gridfleet/gridfleet.go
+++ b/io/standin/gridfleet/gridfleet.go
@@ -51,6 +51,9 @@
 	DaemonsPerZone int
 	Log            io.Writer
 	Rules          *netseam.Rules
+	// Through returns the address by which daemons reach one of the store or a
+	// server; nil leaves it.
+	Through func(address string) (string, error)
 	// Grace is the time of a planned stop; zero is three seconds.
 	Grace time.Duration
 }
@@ -115,6 +118,11 @@
 		options: o, Store: rowstore.New(rowstore.Options{Seed: 1}), Address: l.Addr().String(), store: l,
 		servers: map[string]*Entry{}, stop: make(chan struct{}),
 	}
+	if o.Through != nil {
+		if f.Address, err = o.Through(f.Address); err != nil {
+			return nil, err
+		}
+	}
 	go func() { _ = f.Store.Serve(l) }()
 	go f.report()
 	for z := range o.Zones {
@@ -216,6 +224,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if f.options.Through != nil {
+		if address, err = f.options.Through(address); err != nil {
+			return nil, err
+		}
+	}
 	e := &Entry{
 		Service: service, Address: address, Zone: string(f.options.Zones[zone]), Version: "v1", Capacity: slots,
 		State: "ready", Born: time.Now().UnixMilli(), server: s,
@@ -235,6 +248,14 @@
 	f.write(id, f.servers[id])
 }
 
+// Remove takes the row of a server away, as when it has left.
+func (f *Fleet) Remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.servers, id)
+	f.Store.Drop("servers", id)
+}
+
 // Rename gives the address of a server to another id, as when an address is used
 // again. The row keeps the old id until the next report.
 func (f *Fleet) Rename(id, to string) {
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -56,9 +56,23 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	runs     map[string]int
+	log      []Run
 	bodies   map[string]string
 }
 
+// Run is one run of a request.
+type Run struct {
+	ID string
+	At time.Time
+}
+
+// Log returns all runs in their order.
+func (s *Server) Log() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.log...)
+}
+
 // New returns a server whose requests take the given time.
 func New(id string, work time.Duration) *Server {
 	s := &Server{ID: id, conns: map[net.Conn]bool{}, runs: map[string]int{}, bodies: map[string]string{}}
@@ -199,6 +213,7 @@
 func (s *Server) run(c net.Conn, r *bufio.Reader, id, body string, fault Fault) bool {
 	s.mu.Lock()
 	s.runs[id]++
+	s.log = append(s.log, Run{id, time.Now()})
 	s.bodies[id] = body
 	s.mu.Unlock()
 	s.working.Add(1)
