Metrics with labels: connections by end, beliefs by cause, latencies by service

Cause: the histograms lacked the service, connections that ended and changes of belief had no cause in the metrics, and counting was written twice, in the daemon and in the edge. Found on the way: edge never expired idle connections to servers (it only refused to use them), and logged a heard risk as 0 to 255.

Change: one package (io/meter) holds counters, gauges and histograms; names may have labels. The client of servers says why each connection ended, and the reply scripts check it.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -100,8 +100,8 @@
 	// slowness is the running logarithm of the time of an answer in relation to
 	// the usual time of its route.
 	slowness float64
-	// probation is the number of attempts under way while the server is sick.
-	sick bool
+	// health is what the server counted as when evidence last came in.
+	health Health
 }
 
 type elsewhere struct {
@@ -174,7 +174,7 @@
 func (b *Book) state(now time.Time, key roster.Key) *state {
 	s := b.states[key]
 	if s == nil {
-		s = &state{risk: newRisk, at: now}
+		s = &state{risk: newRisk, at: now, health: Sound}
 		b.states[key] = s
 	}
 	return s
@@ -227,8 +227,8 @@
 
 // judge tells of a server that passed between sound and sick.
 func (b *Book) judge(s *state, server roster.Server, o Outcome) {
-	if sick := s.risk >= sickFrom; sick != s.sick {
-		s.sick = sick
+	if health := HealthOf(s.risk); health != s.health {
+		s.health = health
 		b.options.Changed(server, s.risk, o)
 	}
 }
@@ -286,6 +286,28 @@
 // riskScale is the greatest Risk of a Report.
 const riskScale = 255
 
+// Health is a belief in one word.
+type Health string
+
+// The beliefs.
+const (
+	Sick  Health = "sick"
+	Sound Health = "sound"
+)
+
+// HealthOf returns what a server with a risk of 0 to 1 counts as.
+func HealthOf(risk float64) Health {
+	if risk >= sickFrom {
+		return Sick
+	}
+	return Sound
+}
+
+// Believed returns the belief of a report, 0 to 1.
+func (r *Report) Believed() float64 {
+	return float64(r.Risk) / riskScale
+}
+
 // Reports returns what is known of servers with evidence or attempts younger
 // than the given age, at most limit of them.
 func (b *Book) Reports(now time.Time, younger time.Duration, limit int) []Report {
@@ -343,11 +365,11 @@
 	if s.tried && !at.After(s.at) {
 		return false
 	}
-	s.risk = min(max(float64(r.Risk)/riskScale, leastRisk), mostRisk)
+	s.risk = min(max(r.Believed(), leastRisk), mostRisk)
 	s.at, s.tried = at, true
-	sick := s.risk >= sickFrom
-	changed := sick != s.sick
-	s.sick = sick
+	health := HealthOf(s.risk)
+	changed := health != s.health
+	s.health = health
 	return changed
 }
 
--- a/core/belief/belief_test.go
+++ b/core/belief/belief_test.go
@@ -25,7 +25,7 @@
 //	begin ID N                    attempts begin and go on
 //	pick KIND [tried ID] = ID     the server of the next attempt; KIND is once,
 //	                              idempotent or last; a star stands for none
-//	sick ID = BOOL                whether the server counts as sick
+//	health ID = HEALTH            what the server counts as
 //	risk ID < X, risk ID > X      the belief about a server
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -124,8 +124,8 @@
 		}
 	case "pick":
 		return s.pick(w[1:])
-	case "sick":
-		return s.book.states[roster.Key{ID: ident.ServerID(w[1]), Born: 1}].sick == (w[3] == "true")
+	case "health":
+		return s.book.states[roster.Key{ID: ident.ServerID(w[1]), Born: 1}].health == Health(w[3])
 	case "risk":
 		risk := s.book.states[roster.Key{ID: ident.ServerID(w[1]), Born: 1}].riskAt(s.now)
 		return (w[2] == "<") == (risk < s.number(w[3]))
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -14,14 +14,13 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
-	metrics "github.com/rcrowley/go-metrics"
 
 	"bilberrymux/core/config"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/member"
 	"bilberrymux/core/poison"
 	"bilberrymux/core/shard"
-	"bilberrymux/io/exposition"
+	"bilberrymux/io/meter"
 	"bilberrymux/io/versions"
 )
 
@@ -74,7 +73,7 @@
 // Options are the dependencies of an Admin.
 type Options struct {
 	Key         string
-	Registry    metrics.Registry
+	Metrics     *meter.Set
 	Versions    *versions.Keeper
 	Members     func() *member.View
 	Status      func() Status
@@ -101,7 +100,7 @@
 	a.app.Get(PathReady, a.ready)
 	a.app.Use(a.authorize)
 	a.app.Get(PathMetrics, a.prometheus)
-	a.app.Get(PathCounters, func(c *fiber.Ctx) error { return c.JSON(o.Registry.GetAll()) })
+	a.app.Get(PathCounters, func(c *fiber.Ctx) error { return c.JSON(o.Metrics.All()) })
 	a.app.Get(PathStatus, func(c *fiber.Ctx) error { return c.JSON(o.Status()) })
 	a.app.Get(PathShards, func(c *fiber.Ctx) error { return c.JSON(o.Shards()) })
 	a.app.Get(PathMembers, func(c *fiber.Ctx) error { return c.JSON(o.Members().Entries) })
@@ -222,10 +221,10 @@
 
 // prometheus writes all metrics in Prometheus' text form.
 func (a *Admin) prometheus(c *fiber.Ctx) error {
-	text, err := exposition.Text(a.options.Registry)
+	text, err := a.options.Metrics.Text()
 	if err != nil {
 		return fmt.Errorf("admin: metrics: %w", err)
 	}
-	c.Set(fiber.HeaderContentType, exposition.ContentType)
+	c.Set(fiber.HeaderContentType, meter.ContentType)
 	return c.Send(text)
 }
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -36,8 +36,9 @@
 // Client exchanges requests with servers by address. It is safe for concurrent
 // use.
 type Client struct {
-	// dial opens a connection.
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	// dial opens a connection, closed is told of the end of each.
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	closed func(ConnEnd)
 
 	mu   sync.RWMutex
 	sets map[string]*idleSet
@@ -45,9 +46,10 @@
 	open atomic.Int64
 }
 
-// New returns a client that opens connections by dial.
-func New(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
-	return &Client{dial: dial, sets: map[string]*idleSet{}}
+// New returns a client that opens connections by dial, and tells closed why each
+// of them ended.
+func New(dial func(ctx context.Context, address string) (net.Conn, error), closed func(ConnEnd)) *Client {
+	return &Client{dial: dial, closed: closed, sets: map[string]*idleSet{}}
 }
 
 // Answer is what a server answered.
@@ -125,9 +127,9 @@
 	resp := fasthttp.AcquireResponse()
 	if err := sc.exchange(req, resp, o.Foreign); err != nil {
 		stop()
-		c.discard(sc)
-		fasthttp.ReleaseResponse(resp)
 		end := failedEnd(ctx, sc, err)
+		c.discard(sc, connEnd(end))
+		fasthttp.ReleaseResponse(resp)
 		if end == shard.Broken && sc.used {
 			end = shard.StaleConnection
 		}
@@ -206,15 +208,33 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s = c.sets[address]; s == nil {
-		s = &idleSet{closed: func() { c.open.Add(-1) }}
+		s = &idleSet{closed: c.ended}
 		c.sets[address] = s
 	}
 	return s
 }
 
-func (c *Client) discard(sc *serverConn) {
+func (c *Client) discard(sc *serverConn, end ConnEnd) {
 	sc.Close()
+	c.ended(end)
+}
+
+// ended counts a connection that was closed.
+func (c *Client) ended(end ConnEnd) {
 	c.open.Add(-1)
+	c.closed(end)
+}
+
+// connEnd tells why the connection of an exchange is of no more use.
+func connEnd(end shard.End) ConnEnd {
+	switch end {
+	case shard.Cancelled:
+		return EndCancelled
+	case shard.NoAnswer, shard.SilentConnection:
+		return EndTimeout
+	default:
+		return EndBroken
+	}
 }
 
 // exchange writes the request and reads the head of the answer, and a stream
@@ -274,9 +294,10 @@
 	head, err := io.ReadAll(io.LimitReader(source, wholeLimit+1))
 	if err != nil {
 		stop()
-		c.discard(sc)
+		end := failedEnd(ctx, sc, err)
+		c.discard(sc, connEnd(end))
 		fasthttp.ReleaseResponse(resp)
-		return nil, failedEnd(ctx, sc, err), fmt.Errorf("backend: %s: %w", address, err)
+		return nil, end, fmt.Errorf("backend: %s: %w", address, err)
 	}
 	if len(head) <= wholeLimit {
 		_ = resp.CloseBodyStream()
@@ -288,10 +309,14 @@
 
 // complete ends an exchange whose answer is whole.
 func (c *Client) complete(address string, sc *serverConn, resp *fasthttp.Response, stop func() bool) (*Answer, shard.End, error) {
-	closing := resp.ConnectionClose() || sc.spoiled || !stop()
-	if closing {
-		c.discard(sc)
-	} else {
+	switch {
+	case !stop():
+		c.discard(sc, EndCancelled)
+	case sc.spoiled:
+		c.discard(sc, EndSpoiled)
+	case resp.ConnectionClose():
+		c.discard(sc, EndServer)
+	default:
 		sc.keep = keepTime(&resp.Header)
 		c.set(address).put(time.Now(), sc)
 	}
@@ -334,7 +359,7 @@
 			sc.keep = keepTime(&resp.Header)
 			c.set(address).put(time.Now(), sc)
 		} else {
-			c.discard(sc)
+			c.discard(sc, streamConnEnd(end, sc))
 		}
 		answer.Finish(end)
 	}
@@ -342,6 +367,17 @@
 	return answer, endOf(resp), nil
 }
 
+// streamConnEnd tells why a connection is of no more use after a streamed answer.
+func streamConnEnd(end shard.End, sc *serverConn) ConnEnd {
+	switch {
+	case end != shard.Good:
+		return connEnd(end)
+	case sc.spoiled:
+		return EndSpoiled
+	}
+	return EndServer
+}
+
 // Open returns the number of open connections to all servers.
 func (c *Client) Open() int64 {
 	return c.open.Load()
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -39,6 +39,9 @@
 type replyScript struct {
 	About     string     `json:"about"`
 	Exchanges []exchange `json:"exchanges"`
+	// Closed is why connections ended, in order; one that stays idle after the
+	// last exchange is expired.
+	Closed []backend.ConnEnd `json:"closed"`
 }
 
 // TestReplyScripts plays what servers send, whole or not, against the client.
@@ -99,11 +102,12 @@
 }
 
 func playReplies(t *testing.T, s *replyScript) {
+	var ends []backend.ConnEnd
 	address := serve(t, s)
 	client := backend.New(func(ctx context.Context, a string) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", a)
-	})
+	}, func(end backend.ConnEnd) { ends = append(ends, end) })
 	for i, e := range s.Exchanges {
 		// Bytes that a server sends unasked need a moment to arrive.
 		time.Sleep(20 * time.Millisecond)
@@ -113,6 +117,13 @@
 			t.Fatalf("exchange %d (-want +got):\n%s", i, diff)
 		}
 	}
+	client.Expire(time.Now().Add(time.Hour))
+	if diff := cmp.Diff(s.Closed, ends); diff != "" {
+		t.Errorf("closed connections (-want +got):\n%s", diff)
+	}
+	if client.Open() != 0 {
+		t.Errorf("%d connections are open", client.Open())
+	}
 }
 
 func play(client *backend.Client, address string, e *exchange) {
@@ -156,10 +167,11 @@
 		_, _ = io.ReadAll(c)
 		close(gone)
 	}()
+	var ends []backend.ConnEnd
 	client := backend.New(func(ctx context.Context, a string) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", a)
-	})
+	}, func(end backend.ConnEnd) { ends = append(ends, end) })
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
 	req := fasthttp.AcquireRequest()
@@ -172,6 +184,9 @@
 	if client.Open() != 0 {
 		t.Fatalf("%d connections are open", client.Open())
 	}
+	if diff := cmp.Diff([]backend.ConnEnd{backend.EndCancelled}, ends); diff != "" {
+		t.Fatal(diff)
+	}
 }
 
 // TestUnreachable tells a server that refuses connections.
@@ -179,7 +194,7 @@
 	client := backend.New(func(ctx context.Context, a string) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", a)
-	})
+	}, func(end backend.ConnEnd) { t.Errorf("a connection ended: %s", end) })
 	req := fasthttp.AcquireRequest()
 	req.SetRequestURI("http://x/")
 	if _, end, _ := client.Do(context.Background(), "127.0.0.1:1", req, backend.Options{}); end != shard.DialFailed {
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -68,14 +68,39 @@
 	conns      []*serverConn
 	generation uint64
 	// closed is told of each connection that the set closes.
-	closed func()
+	closed func(ConnEnd)
 }
 
-func (s *idleSet) shut(c *serverConn) {
+func (s *idleSet) shut(c *serverConn, end ConnEnd) {
 	c.Close()
-	s.closed()
+	s.closed(end)
 }
 
+// ConnEnd is why a connection to a server was closed.
+type ConnEnd string
+
+// The ends of connections.
+const (
+	// EndServer is a server that said it would close.
+	EndServer ConnEnd = "server"
+	// EndBroken is an exchange that broke on the connection.
+	EndBroken ConnEnd = "broken"
+	// EndTimeout is an exchange without an answer in its time.
+	EndTimeout ConnEnd = "timeout"
+	// EndCancelled is an exchange that nobody waited for any longer.
+	EndCancelled ConnEnd = "cancelled"
+	// EndSpoiled is a connection that carried an answer to another request.
+	EndSpoiled ConnEnd = "spoiled"
+	// EndIdle is a connection that was idle for too long.
+	EndIdle ConnEnd = "idle"
+	// EndStale is an idle connection that the server closed or wrote to.
+	EndStale ConnEnd = "stale"
+	// EndSurplus is an idle connection beyond those that are kept.
+	EndSurplus ConnEnd = "surplus"
+	// EndGivenUp is a connection to an address that is no longer a server's.
+	EndGivenUp ConnEnd = "givenUp"
+)
+
 // take returns an idle connection that looks alive, or nil.
 func (s *idleSet) take(now time.Time, limit time.Duration) *serverConn {
 	for {
@@ -83,10 +108,14 @@
 		if c == nil {
 			return nil
 		}
-		if now.Sub(c.idleSince) <= min(limit, c.keep) && c.alive() {
+		if now.Sub(c.idleSince) > min(limit, c.keep) {
+			s.shut(c, EndIdle)
+			continue
+		}
+		if c.alive() {
 			return c
 		}
-		s.shut(c)
+		s.shut(c, EndStale)
 	}
 }
 
@@ -109,8 +138,12 @@
 	c.idleSince, c.used = now, true
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.generation != s.generation || len(s.conns) >= maxIdle {
-		s.shut(c)
+	switch {
+	case c.generation != s.generation:
+		s.shut(c, EndGivenUp)
+		return
+	case len(s.conns) >= maxIdle:
+		s.shut(c, EndSurplus)
 		return
 	}
 	s.conns = append(s.conns, c)
@@ -124,7 +157,7 @@
 	s.generation++
 	s.mu.Unlock()
 	for _, c := range conns {
-		s.shut(c)
+		s.shut(c, EndGivenUp)
 	}
 }
 
@@ -135,7 +168,7 @@
 	kept := s.conns[:0]
 	for _, c := range s.conns {
 		if now.Sub(c.idleSince) > c.keep {
-			s.shut(c)
+			s.shut(c, EndIdle)
 			continue
 		}
 		kept = append(kept, c)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -6,12 +6,10 @@
 	"fmt"
 	"net"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -28,6 +26,7 @@
 	"bilberrymux/io/backend"
 	"bilberrymux/io/front"
 	"bilberrymux/io/gossip"
+	"bilberrymux/io/meter"
 	"bilberrymux/io/netseam"
 	"bilberrymux/io/once"
 	"bilberrymux/io/peer"
@@ -57,8 +56,7 @@
 	options  Options
 	settings settings.Settings
 	log      *logrus.Entry
-	registry metrics.Registry
-	counters sync.Map
+	metrics  *meter.Set
 	started  time.Time
 
 	store    *store.Store
@@ -118,7 +116,7 @@
 		options:   o,
 		settings:  s,
 		log:       o.Log.WithFields(logrus.Fields{"vm": s.VM}),
-		registry:  metrics.NewRegistry(),
+		metrics:   meter.New(),
 		started:   time.Now(),
 		reconcile: make(chan struct{}, 1),
 		stopAsked: make(chan struct{}, 1),
@@ -159,7 +157,9 @@
 	}
 	d.store = countedStore(d.store, d.add)
 	d.members = member.New(self, func(*member.Entry) { d.pokeReconcile() })
-	d.backend = backend.New(d.dialer(serverDialTimeout))
+	d.backend = backend.New(d.dialer(serverDialTimeout), func(end backend.ConnEnd) {
+		d.count(meter.Name("connections.closed", meter.Label{Key: "end", Value: string(end)}))
+	})
 	d.peers = peer.NewClient(d.dialer(peerDialTimeout), d.traffic)
 	d.versions = versions.New(d.store, d.applied)
 	d.gossip = gossip.New(gossip.Options{
@@ -203,24 +203,13 @@
 	d.add(name, 1)
 }
 
-// add adds to a counter. The counters are kept beside the registry, whose lookup
-// takes a lock for all of them.
+// add adds to a counter.
 func (d *Daemon) add(name string, n int64) {
-	c, ok := d.counters.Load(name)
-	if !ok {
-		c, _ = d.counters.LoadOrStore(name, metrics.GetOrRegisterCounter(name, d.registry))
-	}
-	c.(metrics.Counter).Inc(n)
+	d.metrics.Add(name, n)
 }
 
-// latencySamples is the size of the sample of each rank's latencies.
-const latencySamples = 1024
-
 func (d *Daemon) observe(rank ident.Rank, took time.Duration) {
-	h := d.registry.GetOrRegister("latencyMicros."+string(rank), func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewUniformSample(latencySamples))
-	})
-	h.(metrics.Histogram).Update(took.Microseconds())
+	d.metrics.Observe("latencyMicros."+string(rank), took)
 }
 
 // serverChanged records a change of a server's state.
@@ -242,7 +231,7 @@
 // applied is told of each version that came into force here.
 func (d *Daemon) applied(c *config.Config, records []versions.Record) {
 	d.log.WithField("version", c.Version).Info("configuration in force")
-	metrics.GetOrRegisterGauge("configVersion", d.registry).Update(int64(c.Version))
+	d.metrics.Set("configVersion", int64(c.Version))
 	d.gossip.SpreadConfig(records)
 	d.pokeReconcile()
 }
@@ -271,7 +260,7 @@
 
 // Counter returns the value of a counter.
 func (d *Daemon) Counter(name string) int64 {
-	return metrics.GetOrRegisterCounter(name, d.registry).Count()
+	return d.metrics.Counter(name)
 }
 
 // Versions returns the keeper of the shared configuration.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,7 +16,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
@@ -29,6 +28,8 @@
 	"bilberrymux/core/zone"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/discovery"
+	"bilberrymux/io/loop"
+	"bilberrymux/io/meter"
 	"bilberrymux/io/netseam"
 	"bilberrymux/io/news"
 	"bilberrymux/platform"
@@ -50,8 +51,7 @@
 	options  Options
 	settings *settings.Edge
 	log      *logrus.Entry
-	registry metrics.Registry
-	counters sync.Map
+	metrics  *meter.Set
 
 	members *zone.Table
 	keeper  *discovery.Keeper
@@ -101,11 +101,14 @@
 	storeDialTimeout  = time.Second
 )
 
+// expirePeriod is how often connections that were idle for too long are closed.
+const expirePeriod = time.Second
+
 // New returns a daemon that Start brings up.
 func New(o Options) *Edge {
 	s := o.Settings
 	e := &Edge{
-		options: o, settings: s, registry: metrics.NewRegistry(),
+		options: o, settings: s, metrics: meter.New(),
 		log:    o.Log.WithField("vm", s.VM),
 		poison: poison.New(), urgentNews: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
@@ -117,9 +120,11 @@
 	})
 	e.book = belief.New(belief.Options{Seed: xxhash.Sum64String(string(s.VM)), Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, Changed: e.beliefChanged})
 	e.budget = budget.New(budgetOptions(s, leastOwners))
-	e.backend = backend.New(e.dialer(serverDialTimeout))
+	e.backend = backend.New(e.dialer(serverDialTimeout), func(end backend.ConnEnd) {
+		e.countBy("connections.closed", "end", string(end))
+	})
 	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string) {
-		e.count("store." + call + "." + result)
+		e.metrics.Count(meter.Name("store.calls", meter.Label{Key: "call", Value: call}, meter.Label{Key: "result", Value: result}))
 	})
 	e.keeper = discovery.New(discovery.Options{
 		Store: e.store, Zone: e.members, Log: e.log, Drain: s.Bounds.Drain.Duration(),
@@ -161,6 +166,7 @@
 	}
 	e.background.Go(func() { e.join(ctx) })
 	e.background.Go(func() { e.gossip(ctx) })
+	e.background.Go(func() { loop.Every(ctx, expirePeriod, e.backend.Expire) })
 	e.log.WithFields(logrus.Fields{
 		"incarnation": e.members.Self().Incarnation, "zone": e.settings.Zone, "callers": e.settings.CallerAddress,
 	}).Info(event.Started)
@@ -184,22 +190,12 @@
 
 // count adds one to a counter.
 func (e *Edge) count(name string) {
-	c, ok := e.counters.Load(name)
-	if !ok {
-		c, _ = e.counters.LoadOrStore(name, metrics.GetOrRegisterCounter(name, e.registry))
-	}
-	c.(metrics.Counter).Inc(1)
+	e.metrics.Count(name)
 }
 
-// latencySamples is the size of the sample of each histogram.
-const latencySamples = 256
-
-// observe records a time in microseconds.
-func (e *Edge) observe(name string, took time.Duration) {
-	h := e.registry.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewUniformSample(latencySamples))
-	})
-	h.(metrics.Histogram).Update(took.Microseconds())
+// countBy adds one to the counter of a name and a label.
+func (e *Edge) countBy(name, key, value string) {
+	e.metrics.Count(meter.Name(name, meter.Label{Key: key, Value: value}))
 }
 
 // ready reports whether callers can be served.
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -215,7 +215,7 @@
 		r.further(reason)
 		return true
 	}
-	r.edge.count("further.noBudget")
+	r.edge.count("noBudget")
 	r.edge.log.WithFields(logrus.Fields{
 		"request": r.call.id, "service": r.call.service, "reason": reason, "left": r.edge.budget.Left(r.call.service),
 	}).Warn(event.NoBudget)
@@ -224,7 +224,7 @@
 
 // further records why the request goes to one more server.
 func (r *run) further(reason string) {
-	r.edge.count("further." + reason)
+	r.edge.countBy("further", "reason", reason)
 	r.edge.log.WithFields(logrus.Fields{
 		"request": r.call.id, "service": r.call.service, "reason": reason, "tried": len(r.tried),
 	}).Info(event.Further)
@@ -275,7 +275,7 @@
 
 // noted logs the end of an attempt that did not bring a good answer.
 func (e *Edge) noted(k *call, a *belief.Attempt, o belief.Outcome, took time.Duration, err error) {
-	e.count("attempt." + string(o))
+	e.countBy("attempts", "outcome", string(o))
 	if o == belief.Good {
 		return
 	}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -17,6 +17,7 @@
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
 	"bilberrymux/io/hop"
+	"bilberrymux/io/meter"
 	"bilberrymux/io/watch"
 	"bilberrymux/platform"
 )
@@ -149,7 +150,7 @@
 func (f *front) answer(c *fiber.Ctx, k *call, a *reply) {
 	f.edge.count("answers")
 	took := time.Since(k.received)
-	f.edge.observe("latencyMicros."+kindName(k.route)+".answered", took)
+	f.edge.observe(k, "answered", took)
 	f.edge.log.WithFields(logrus.Fields{
 		"request": k.id, "route": k.route.Name, "service": k.service, "server": a.server, "status": a.response.StatusCode(),
 		"attempts": a.sends, "risk": a.risk, "evidenceAgeMillis": a.evidenceAge.Milliseconds(),
@@ -167,12 +168,16 @@
 	}
 }
 
-// kindName names a kind of request in metrics, with few values.
-func kindName(r *catalog.Route) string {
-	if r.Idempotent {
-		return "idempotent.priority" + strconv.Itoa(r.Priority)
+// observe records the time that a request took, by what it was and how it ended.
+func (e *Edge) observe(k *call, outcome string, took time.Duration) {
+	kind := "once"
+	if k.route.Idempotent {
+		kind = "idempotent"
 	}
-	return "once.priority" + strconv.Itoa(r.Priority)
+	e.metrics.Observe(meter.Name("latencyMicros",
+		meter.Label{Key: "kind", Value: kind}, meter.Label{Key: "priority", Value: strconv.Itoa(k.route.Priority)},
+		meter.Label{Key: "service", Value: string(k.service)}, meter.Label{Key: "outcome", Value: outcome},
+	), took)
 }
 
 // body is the body of a refusal.
@@ -187,21 +192,18 @@
 // ran are given only where that is true.
 func (f *front) refuse(c *fiber.Ctx, k *call, r *refusal.Error) {
 	answer := refusal.Of(r.Kind)
-	f.edge.count("refusal." + string(r.Kind))
+	f.edge.countBy("refusals", "kind", string(r.Kind))
 	fields := logrus.Fields{"kind": r.Kind, "outcome": r.Outcome(), "detail": r.Detail}
 	if k != nil {
 		took := time.Since(k.received)
-		f.edge.observe("latencyMicros."+kindName(k.route)+".refused", took)
+		f.edge.observe(k, "refused", took)
 		fields["request"], fields["route"], fields["service"] = k.id, k.route.Name, k.service
 		fields["version"], fields["tookMillis"] = k.version, took.Milliseconds()
 	} else {
 		fields["request"] = string(c.Request().Header.Peek(platform.HeaderRequestID))
 	}
 	f.edge.log.WithFields(fields).Warn(event.Refused)
-	status := answer.Status
-	if promises(status) && r.Outcome() == refusal.Unknown {
-		status = fasthttp.StatusBadGateway
-	}
+	status := statusOf(r)
 	text, err := json.Marshal(body{r.Kind, r.Outcome(), answer.Text, r.Detail})
 	if err != nil {
 		f.edge.log.WithError(err).Error("refusal without a body")
@@ -218,6 +220,16 @@
 	c.Response().SetBody(text)
 }
 
+// statusOf returns the status of a refusal, never one that promises what may not
+// be true.
+func statusOf(r *refusal.Error) int {
+	status := refusal.Of(r.Kind).Status
+	if promises(status) && r.Outcome() == refusal.Unknown {
+		return fasthttp.StatusBadGateway
+	}
+	return status
+}
+
 // promises reports whether a status says that the request did not run.
 func promises(status int) bool {
 	switch status {
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -18,6 +18,7 @@
 	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
 	"bilberrymux/io/loop"
+	"bilberrymux/io/meter"
 	"bilberrymux/io/news"
 )
 
@@ -183,7 +184,8 @@
 	e.log.WithFields(logrus.Fields{
 		"server": s.ID, "service": s.Service, "risk": risk, "outcome": o,
 	}).Info(event.Belief)
-	e.count("belief.changed")
+	e.metrics.Count(meter.Name("belief.changes",
+		meter.Label{Key: "to", Value: string(belief.HealthOf(risk))}, meter.Label{Key: "cause", Value: string(o)}))
 	e.hurry()
 	e.tasks.Go(func() { e.tellOthers(s.Key()) })
 }
@@ -217,8 +219,9 @@
 	}
 	for _, r := range m.Reports {
 		if e.book.Hear(now, from, r) {
+			e.countBy("belief.heard", "to", string(belief.HealthOf(r.Believed())))
 			e.log.WithFields(logrus.Fields{
-				"server": r.ID, "risk": r.Risk, "from": m.From.VM, "ageMillis": r.AgeMillis,
+				"server": r.ID, "risk": r.Believed(), "from": m.From.VM, "ageMillis": r.AgeMillis,
 			}).Info(event.BeliefHeard)
 		}
 	}
--- a/io/edge/listen.go
+++ b/io/edge/listen.go
@@ -8,7 +8,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"bilberrymux/io/exposition"
+	"bilberrymux/io/meter"
 	"bilberrymux/platform"
 )
 
@@ -96,10 +96,10 @@
 
 func (s *service) metrics(c *fiber.Ctx) error {
 	s.edge.gauges()
-	text, err := exposition.Text(s.edge.registry)
+	text, err := s.edge.metrics.Text()
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
-	c.Set(fiber.HeaderContentType, exposition.ContentType)
+	c.Set(fiber.HeaderContentType, meter.ContentType)
 	return c.Send(text)
 }
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -3,11 +3,10 @@
 import (
 	"time"
 
-	metrics "github.com/rcrowley/go-metrics"
-
 	"bilberrymux/core/belief"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
+	"bilberrymux/io/meter"
 )
 
 // Version returns the configuration version in force; 0 while none is known.
@@ -28,14 +27,15 @@
 
 // gauges brings the gauges up to date.
 func (e *Edge) gauges() {
-	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, e.registry).Update(value) }
+	set := e.metrics.Set
 	set("config.version", int64(e.Version()))
 	set("servers.listed", int64(len(e.Servers())))
 	set("requests.inFlight", e.inFlight.Load())
 	set("connections.servers", e.backend.Open())
 	set("daemons.live", int64(len(e.members.Live())+1))
+	set("connections.callers", int64(e.front.app.Server().GetOpenConnectionsCount()))
 	for id := range e.keeper.Catalog().Services {
-		set("budget."+string(id), int64(e.budget.Left(id)))
+		set(meter.Name("budget", meter.Label{Key: "service", Value: string(id)}), int64(e.budget.Left(id)))
 	}
 	if e.options.LogDropped != nil {
 		set("log.dropped", e.options.LogDropped())
--- /dev/null
+++ b/io/standin/gridfleet/metrics_test.go
@@ -0,0 +1,65 @@
+package gridfleet
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bilberrymux/io/standin/gridserver"
+)
+
+// metricsOf returns the lines of a daemon's metrics.
+func metricsOf(t *testing.T, d *Daemon) []string {
+	t.Helper()
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", d.Settings.IP, d.Settings.MetricsPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Split(string(text), "\n")
+}
+
+// TestMetricsConfirmTheCause makes bookings fail and looks for the counters that
+// an operator is told to look at.
+func TestMetricsConfirmTheCause(t *testing.T) {
+	f, servers := start(t, Options{DaemonsPerZone: 1})
+	d := f.Daemons[0]
+	book(d)
+	servers["booker-1"].SetFault(gridserver.ResetAtOnce)
+	servers["booker-2"].SetFault(gridserver.ResetAtOnce)
+	book(d)
+	send(d, http.MethodGet, "nowhere.example", "/", "")
+	lines := metricsOf(t, d)
+	var missing []string
+	for _, want := range []string{
+		`bilberrymux_attempts{outcome="good"} 1`,
+		`bilberrymux_attempts{outcome="broken"} 1`,
+		`bilberrymux_refusals{kind="serverFailed"} 1`,
+		`bilberrymux_refusals{kind="noRoute"} 1`,
+		`bilberrymux_belief_changes{to="sick",cause="broken"} 1`,
+		`bilberrymux_connections_closed{end="broken"} 1`,
+		`bilberrymux_latencyMicros_count{kind="once",priority="1",service="booker",outcome="answered"} 1`,
+		`bilberrymux_latencyMicros_count{kind="once",priority="1",service="booker",outcome="refused"} 1`,
+		`bilberrymux_store_calls{call="transact",result="200"} 1`,
+		`bilberrymux_daemons_live 1`,
+	} {
+		found := false
+		for _, l := range lines {
+			found = found || l == want
+		}
+		if !found {
+			missing = append(missing, want)
+		}
+	}
+	if diff := cmp.Diff([]string(nil), missing); diff != "" {
+		t.Errorf("missing:\n%s\nof:\n%s", diff, strings.Join(lines, "\n"))
+	}
+}
