A daemon that restarts after its clock went back is believed at once

Cause, found by reading: peers ordered the incarnations of a daemon by the time of day at its start. After a step back, all messages of the new incarnation were taken for those of a former one, and it stayed down in the eyes of its zone.

Change: a daemon's own message always tells its present incarnation; only that of the run before is refused, as its datagrams may come late. What others tell counts for daemons that are silent. No clock is used.

--- a/core/zone/zone.go
+++ b/core/zone/zone.go
@@ -23,8 +23,6 @@
 	// PeerAddress and CallerAddress are where daemons and callers reach it.
 	PeerAddress   string `cbor:"4,keyasint" json:"peerAddress"`
 	CallerAddress string `cbor:"5,keyasint" json:"callerAddress"`
-	// Started orders the incarnations of one VM, in Unix microseconds.
-	Started int64 `cbor:"6,keyasint" json:"started"`
 	// Ready says that callers may be sent to it.
 	Ready bool `cbor:"7,keyasint,omitempty" json:"ready"`
 	// Capacity is the share of a core that the VM has, or less where its link
@@ -41,6 +39,9 @@
 	Member
 	last time.Time
 	live bool
+	// former is the incarnation before this one, whose messages may come late. No
+	// clock orders incarnations, since the time of day may go back.
+	former ident.Incarnation
 }
 
 // Table is safe for concurrent use.
@@ -70,7 +71,8 @@
 }
 
 // Learn adds a daemon that others told of, without evidence that it lives.
-// It reports whether the daemon was unknown.
+// Own evidence goes first: a daemon that is live stays as it was heard. It reports
+// whether the incarnation was unknown.
 func (t *Table) Learn(m Member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -78,10 +80,14 @@
 		return false
 	}
 	h := t.known[m.VM]
-	if h != nil && h.Started >= m.Started {
+	if h == nil {
+		t.known[m.VM] = &heard{Member: m}
+		return true
+	}
+	if h.live || h.Incarnation == m.Incarnation || h.former == m.Incarnation {
 		return false
 	}
-	t.known[m.VM] = &heard{Member: m}
+	h.former, h.Member = h.Incarnation, m
 	return true
 }
 
@@ -94,14 +100,17 @@
 		return false
 	}
 	h := t.known[m.VM]
-	if h != nil && h.Started > m.Started {
-		return false
-	}
 	if h == nil {
-		h = &heard{}
+		h = &heard{Member: m}
 		t.known[m.VM] = h
 	}
+	if h.former == m.Incarnation {
+		return false
+	}
 	came := !h.live || h.Incarnation != m.Incarnation
+	if h.Incarnation != m.Incarnation {
+		h.former = h.Incarnation
+	}
 	h.Member, h.last, h.live = m, now, true
 	return came
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -115,7 +115,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
 		VM: s.VM, Incarnation: ident.Incarnation(string(s.VM) + "~" + uuid.NewString()[:8]), Zone: s.Zone,
-		PeerAddress: e.peerAddress(), CallerAddress: s.CallerAddress, Started: time.Now().UnixMicro(),
+		PeerAddress: e.peerAddress(), CallerAddress: s.CallerAddress,
 		Capacity: min(s.CPUShare, s.LinkMbps/linkPerCore),
 	})
 	e.book = belief.New(belief.Options{Seed: xxhash.Sum64String(string(s.VM)), Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, Changed: e.beliefChanged})
