--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -22,6 +23,9 @@
 	Callers int           `long:"callers" description:"callers" default:"12"`
 	Length  time.Duration `long:"length" description:"time with faults" default:"14s"`
 	Tail    time.Duration `long:"tail" description:"time without faults after it" default:"17s"`
+	Gap     time.Duration `long:"gap" description:"mean time between two faults" default:"500ms"`
+	Fault   []string      `long:"fault" description:"name of a fault; repeat for more, none means all"`
+	Picture bool          `long:"picture" description:"keep the files of sound runs too, with the picture of the timeline"`
 	JSON    bool          `long:"json" description:"print JSON"`
 }
 
@@ -55,34 +59,52 @@
 		return false, err
 	}
 	r, err := soak.Play(soak.Options{
-		Seed: seed, Binary: o.Binary, Folder: folder, DaemonsPerZone: o.Daemons, Callers: o.Callers, Length: o.Length, Tail: o.Tail,
+		Seed: seed, Binary: o.Binary, Folder: folder, DaemonsPerZone: o.Daemons, Callers: o.Callers,
+		Length: o.Length, Tail: o.Tail, Gap: o.Gap, Faults: o.Fault, Bounds: soak.PageBounds,
 	})
 	if err != nil {
 		return false, fmt.Errorf("seed %d: %w; files in %s", seed, err, folder)
 	}
+	broken := len(r.Violations) > 0
+	if broken || o.Picture {
+		if err := picture(r, folder); err != nil {
+			return false, err
+		}
+	}
 	if err := show(o, r, folder); err != nil {
 		return false, err
 	}
-	if len(r.Violations) > 0 {
-		return false, nil
+	if broken || o.Picture {
+		return !broken, nil
 	}
 	return true, os.RemoveAll(folder)
 }
 
+// picture draws the timeline of a run into its folder.
+func picture(r *soak.Report, folder string) error {
+	f, err := os.Create(filepath.Join(folder, "timeline.svg"))
+	if err != nil {
+		return fmt.Errorf("soak: %w", err)
+	}
+	return errors.Join(r.Draw(f), f.Close())
+}
+
 func show(o *options, r *soak.Report, folder string) error {
 	if o.JSON {
 		return json.NewEncoder(os.Stdout).Encode(r)
 	}
 	fmt.Printf("seed %d: %d of %d requests served, %d faults, %d promises broken\n", r.Seed, r.Served, r.Sends, len(r.Faults), len(r.Violations))
+	if len(r.Violations) > 0 || o.Picture {
+		fmt.Println("  files in", folder)
+	}
 	if len(r.Violations) == 0 {
 		return nil
 	}
-	fmt.Println("  files in", folder)
 	for _, v := range r.Violations {
 		fmt.Printf("  %s: %s\n", v.Promise, v.What)
 	}
 	for _, e := range r.Faults {
-		fmt.Printf("  %7.3f s  %s\n", e.At, e.What)
+		fmt.Printf("  %7.3f to %7.3f s  %s\n", e.At, e.Until, e.What)
 	}
 	return nil
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -50,7 +50,8 @@
 	// Sequence orders the states of one incarnation. A daemon that finds
 	// itself called down raises it to refute that.
 	Sequence uint64 `json:"sequence"`
-	// Started orders the incarnations of one VM, in Unix microseconds.
+	// Started orders the incarnations of one VM, in Unix microseconds; a daemon
+	// whose clock went back raises it over that of its former run.
 	Started int64 `json:"started"`
 }
 
@@ -264,10 +265,13 @@
 
 // refute answers wrong news about this daemon.
 func (t *Table) refute(e *Entry) bool {
-	if e.Incarnation != t.self.Incarnation || !newer(e, &t.self) {
+	if !newer(e, &t.self) {
 		return false
 	}
-	if e.State == Leaving {
+	if e.Incarnation != t.self.Incarnation {
+		// The time of day went back since the former run began.
+		t.self.Started = e.Started + 1
+	} else if e.State == Leaving {
 		// The platform takes this VM away; that is not wrong news.
 		t.self.State = Leaving
 	}
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -106,6 +106,24 @@
 	}
 }
 
+// TestRestartAfterTheClockWentBack starts a daemon whose clock is behind that of
+// its former run: it must supersede that run everywhere.
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	other := member.New(entry(2, 1, 0, member.Live), nil)
+	other.Merge(now, []member.Entry{entry(1, 9, 4, member.Down)})
+	own := member.New(entry(1, 3, 0, member.Live), nil)
+	if news := own.Merge(now, []member.Entry{*other.View().ByVM("vm-1")}); len(news) != 1 {
+		t.Fatalf("news %v", news)
+	}
+	other.Merge(now, []member.Entry{own.Self()})
+	if diff := cmp.Diff(own.Self(), *other.View().ByVM("vm-1")); diff != "" {
+		t.Fatal(diff)
+	}
+	if news := own.Merge(now, []member.Entry{entry(1, 9, 4, member.Down)}); news != nil {
+		t.Errorf("old news is answered again: %v", news)
+	}
+}
+
 // TestWrongNewsIsRefuted lets a daemon hear that it is down: it must come back
 // with a state that supersedes that news everywhere.
 func TestWrongNewsIsRefuted(t *testing.T) {
--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,9 @@
 	callerDeadline = 3 * time.Second
 )
 
+// stubbornPart is the number of callers of which one is stubborn.
+const stubbornPart = 3
+
 // caller sends requests one after the other on connections that it keeps.
 type caller struct {
 	world     *world
@@ -35,12 +39,14 @@
 	client    *http.Client
 	addresses []string
 	asked     time.Time
-	sends     []Send
+	// stubborn callers keep an address until they can't connect there.
+	stubborn bool
+	sends    []Send
 }
 
 func newCaller(w *world, n int, seed uint64) *caller {
 	return &caller{
-		world: w, name: fmt.Sprintf("c%d", n), random: rand.New(rand.NewPCG(seed, uint64(n))),
+		world: w, name: fmt.Sprintf("c%d", n), stubborn: n%stubbornPart == 0, random: rand.New(rand.NewPCG(seed, uint64(n))),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 	}
 }
@@ -75,12 +81,26 @@
 		err = json.NewDecoder(resp.Body).Decode(&body)
 		resp.Body.Close()
 		if err == nil && len(body.Addresses) > 0 {
-			c.addresses, c.asked = body.Addresses, time.Now()
+			c.learn(body.Addresses)
 			return
 		}
 	}
 }
 
+// learn takes over a locate answer.
+func (c *caller) learn(addresses []string) {
+	c.asked = time.Now()
+	if !c.stubborn {
+		c.addresses = addresses
+		return
+	}
+	for _, a := range addresses {
+		if !slices.Contains(c.addresses, a) {
+			c.addresses = append(c.addresses, a)
+		}
+	}
+}
+
 // send makes one request and notes its end.
 func (c *caller) send(id string) Send {
 	address := c.addresses[c.random.IntN(len(c.addresses))]
@@ -106,14 +126,14 @@
 	} else {
 		s.Error = err.Error()
 		var op *net.OpError
-		s.DialFailed = errors.As(err, &op) && op.Op == "dial"
+		if errors.As(err, &op) && op.Op == "dial" {
+			s.Excused = true
+			c.addresses = slices.DeleteFunc(c.addresses, func(a string) bool { return a == address })
+		}
 	}
 	s.Ended = time.Now()
-	s.DaemonStops, s.DaemonHarmed = p.state(s.Begun, s.Ended)
-	if ctx.Err() != nil {
-		// The caller gave up; its daemon owes it nothing more.
-		s.DialFailed = true
-	}
+	s.DaemonStops = p.stopOf(s.Begun, s.Ended)
+	s.Excused = s.Excused || ctx.Err() != nil
 	return s
 }
 
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -15,18 +15,19 @@
 	ID     string
 	Daemon string
 	// Once says that the request may run once only.
-	Once        bool
-	Begun       time.Time
-	Ended       time.Time
-	Status      int
-	Whole       bool
-	Own         bool
-	Signed      bool
-	Error       string
-	DialFailed  bool
+	Once   bool
+	Begun  time.Time
+	Ended  time.Time
+	Status int
+	Whole  bool
+	Own    bool
+	Signed bool
+	Error  string
+	// Excused says that the daemon owes no answer: the caller reached none, or
+	// gave up.
+	Excused bool
+	// DaemonStops is when the daemon was asked to stop, zero if it was not.
 	DaemonStops time.Time
-	// DaemonHarmed says that the daemon was killed or paused meanwhile.
-	DaemonHarmed bool
 }
 
 // Run is one run of a request at a server.
@@ -40,23 +41,32 @@
 type Leave struct {
 	Server string
 	At     time.Time
-	// Excused says that the store or daemons were harmed at or after it.
-	Excused bool
 }
 
-// VersionSeen is the version that one incarnation of a daemon had in force.
-type VersionSeen struct {
-	Daemon  string
+// Configured is a version of the configuration that the store accepted.
+type Configured struct {
 	Version uint64
 	At      time.Time
 }
 
+// VersionSeen is the version that one incarnation of a daemon had in force.
+type VersionSeen struct {
+	Daemon      string
+	Incarnation int
+	Version     uint64
+	At          time.Time
+}
+
 // History is what callers and servers saw.
 type History struct {
-	Sends    []Send
-	Runs     []Run
-	Leaves   []Leave
-	Versions []VersionSeen
+	Sends      []Send
+	Runs       []Run
+	Leaves     []Leave
+	Configured []Configured
+	Versions   []VersionSeen
+	// Harms are the times during which daemons, servers and the store were harmed,
+	// by name.
+	Harms map[string][]Span
 	// Healed is when the last fault ended.
 	Healed time.Time
 }
@@ -72,94 +82,155 @@
 	LeavingIdle Promise = "no work at a leaving server"
 	StopCutsNo  Promise = "a planned stop cuts nothing"
 	NeverBack   Promise = "a version never goes back"
+	InForce     Promise = "a version is in force in time"
 	Budget      Promise = "budget of further arrivals"
 	Recovers    Promise = "service recovers"
 )
 
 // Violation is one broken promise.
 type Violation struct {
-	Promise Promise
-	What    string
+	Promise Promise   `json:"promise"`
+	What    string    `json:"what"`
+	At      time.Time `json:"at"`
 }
 
-// The bounds, from the platform's pages.
-const (
-	// leaveBound is the time in which a leaving server gets no more work.
-	leaveBound = 2 * time.Second
-	// budgetWindow, budgetRatio and budgetReserve bound further arrivals.
-	budgetWindow  = 10 * time.Second
-	budgetRatio   = 0.2
-	budgetReserve = 56
-	// recoveryBound is when service must be back, recoveredShare how much of it.
-	recoveryBound  = 15 * time.Second
-	recoveredShare = 0.25
-)
+// Bounds are the figures of the promises.
+type Bounds struct {
+	// Leave is the time in which a leaving server gets no more work, and Config
+	// that in which a version comes into force.
+	Leave, Config time.Duration
+	// Window, Ratio and Reserve bound further arrivals.
+	Window  time.Duration
+	Ratio   float64
+	Reserve float64
+	// Recovery is when service must be back after the last fault.
+	Recovery time.Duration
+}
+
+// PageBounds are those of the platform's pages.
+var PageBounds = Bounds{
+	Leave: 2 * time.Second, Config: 2 * time.Second,
+	Window: 10 * time.Second, Ratio: 0.2, Reserve: 56, Recovery: 15 * time.Second,
+}
+
+// recoveredShare is the part of the requests that must be served after recovery.
+const recoveredShare = 0.95
+
+// checker looks for broken promises in one history.
+type checker struct {
+	*History
+	bounds Bounds
+	runs   map[string]int
+	sends  map[string]*Send
+	found  []Violation
+}
 
 // Check returns every broken promise of a history.
-func Check(h *History) []Violation {
-	var out []Violation
-	add := func(p Promise, format string, args ...any) {
-		out = append(out, Violation{p, fmt.Sprintf(format, args...)})
-	}
-	runs := map[string]int{}
+func Check(h *History, b Bounds) []Violation {
+	c := &checker{History: h, bounds: b, runs: map[string]int{}, sends: map[string]*Send{}}
 	for _, r := range h.Runs {
-		runs[r.ID]++
+		c.runs[r.ID]++
 	}
 	for i := range h.Sends {
-		checkSend(&h.Sends[i], runs, add)
+		c.sends[h.Sends[i].ID] = &h.Sends[i]
+		c.send(&h.Sends[i])
 	}
-	checkLeaves(h, add)
-	checkVersions(h, add)
-	checkBudget(h, add)
-	checkRecovery(h, add)
-	return out
+	c.leaves()
+	c.versions()
+	c.inForce()
+	c.budget()
+	c.recovery()
+	return c.found
 }
 
-type report func(p Promise, format string, args ...any)
+func (c *checker) add(at time.Time, p Promise, format string, args ...any) {
+	c.found = append(c.found, Violation{p, fmt.Sprintf(format, args...), at})
+}
 
-func checkSend(s *Send, runs map[string]int, add report) {
+func (c *checker) send(s *Send) {
+	ran := c.runs[s.ID]
 	if s.Status >= 200 && s.Status < 300 && !(s.Own && s.Whole && s.Signed) {
-		add(OwnAnswer, "%s from %s: success with own %v, whole %v, signed %v", s.ID, s.Daemon, s.Own, s.Whole, s.Signed)
+		c.add(s.Ended, OwnAnswer, "%s from %s: success with own %v, whole %v, signed %v", s.ID, s.Daemon, s.Own, s.Whole, s.Signed)
 	}
-	if s.Once && runs[s.ID] > 1 {
-		add(AtMostOnce, "%s ran %d times", s.ID, runs[s.ID])
+	if s.Once && ran > 1 {
+		c.add(s.Ended, AtMostOnce, "%s ran %d times", s.ID, ran)
 	}
-	if s.Once && (s.Status == 503 || s.Status == 429) && runs[s.ID] > 0 {
-		add(TrueNotRun, "%s was said not to have run by %s, and ran", s.ID, s.Daemon)
+	if s.Once && (s.Status == 503 || s.Status == 429) && ran > 0 {
+		c.add(s.Ended, TrueNotRun, "%s was said not to have run by %s, and ran", s.ID, s.Daemon)
 	}
-	cut := s.Status == 0 && !s.DialFailed && !s.DaemonHarmed
-	if cut && !s.DaemonStops.IsZero() && s.Ended.After(s.DaemonStops) && runs[s.ID] > 0 {
-		add(StopCutsNo, "%s at %s, %v after the request to stop: %s", s.ID, s.Daemon, s.Ended.Sub(s.DaemonStops), s.Error)
+	cut := s.Status == 0 && !s.Excused && !c.Harmed(s.Daemon, s.Begun, s.Ended)
+	if cut && !s.DaemonStops.IsZero() && s.Ended.After(s.DaemonStops) && ran > 0 {
+		c.add(s.Ended, StopCutsNo, "%s at %s, %v after the request to stop: %s", s.ID, s.Daemon, s.Ended.Sub(s.DaemonStops), s.Error)
 	}
 }
 
-func checkLeaves(h *History, add report) {
-	for _, l := range h.Leaves {
-		for _, r := range h.Runs {
-			if !l.Excused && r.Server == l.Server && r.At.Sub(l.At) > leaveBound {
-				add(LeavingIdle, "%s ran at %s %v after it reported to leave", r.ID, l.Server, r.At.Sub(l.At))
+// leaves checks the runs at servers that had reported to leave. A run is excused
+// where its daemon, or the way to the server, was harmed since the report, or the
+// store was in the time that the news had.
+func (c *checker) leaves() {
+	for _, l := range c.Leaves {
+		for _, r := range c.Runs {
+			if r.Server != l.Server || r.At.Sub(l.At) <= c.bounds.Leave {
+				continue
 			}
+			s := c.sends[r.ID]
+			if s == nil || c.Harmed(s.Daemon, l.At, r.At) || c.Harmed(l.Server, l.At, r.At) || c.Harmed(theStore, l.At, l.At.Add(c.bounds.Leave)) {
+				continue
+			}
+			c.add(r.At, LeavingIdle, "%s ran at %s %v after it reported to leave, sent by %s", r.ID, l.Server, r.At.Sub(l.At), s.Daemon)
 		}
 	}
 }
 
-func checkVersions(h *History, add report) {
-	last := map[string]uint64{}
-	seen := slices.Clone(h.Versions)
+// seenInOrder returns what was seen of the versions, by time.
+func (c *checker) seenInOrder() []VersionSeen {
+	seen := slices.Clone(c.Versions)
 	slices.SortStableFunc(seen, func(a, b VersionSeen) int { return a.At.Compare(b.At) })
-	for _, v := range seen {
-		if v.Version < last[v.Daemon] {
-			add(NeverBack, "%s went from version %d to %d", v.Daemon, last[v.Daemon], v.Version)
+	return seen
+}
+
+// run names an incarnation.
+func (v *VersionSeen) run() string { return fmt.Sprintf("%s/%d", v.Daemon, v.Incarnation) }
+
+func (c *checker) versions() {
+	last := map[string]uint64{}
+	for _, v := range c.seenInOrder() {
+		if v.Version < last[v.run()] {
+			c.add(v.At, NeverBack, "%s went from version %d to %d", v.run(), last[v.run()], v.Version)
 		}
-		last[v.Daemon] = max(last[v.Daemon], v.Version)
+		last[v.run()] = max(last[v.run()], v.Version)
 	}
 }
 
-// checkBudget counts the runs beyond the first of each request in every window.
-func checkBudget(h *History, add report) {
+// inForce checks that each daemon had each version in time. It counts what was
+// seen of daemons that were up, unharmed and with an unharmed store for the whole
+// bound before.
+func (c *checker) inForce() {
+	first := map[string]time.Time{}
+	late := map[string]bool{}
+	for _, v := range c.seenInOrder() {
+		if first[v.run()].IsZero() {
+			first[v.run()] = v.At
+		}
+		from := v.At.Add(-c.bounds.Config)
+		if first[v.run()].After(from) || c.Harmed(v.Daemon, from, v.At) || c.Harmed(theStore, from, v.At) {
+			continue
+		}
+		for _, configured := range c.Configured {
+			what := fmt.Sprintf("%s had no version %d", v.run(), configured.Version)
+			if configured.At.Before(from) && v.Version < configured.Version && !late[what] {
+				late[what] = true
+				c.add(v.At, InForce, "%s %v after it was accepted, but %d", what, v.At.Sub(configured.At), v.Version)
+			}
+		}
+	}
+}
+
+// budget counts the runs beyond the first of each request in every window.
+func (c *checker) budget() {
 	first := map[string]bool{}
-	var extra, requests []time.Time
-	runs := slices.Clone(h.Runs)
+	var extra []time.Time
+	runs := slices.Clone(c.Runs)
 	slices.SortFunc(runs, func(a, b Run) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.ID, b.ID)) })
 	for _, r := range runs {
 		if first[r.ID] {
@@ -167,33 +238,30 @@
 		}
 		first[r.ID] = true
 	}
-	for _, s := range h.Sends {
-		requests = append(requests, s.Begun)
-	}
 	for i, from := range extra {
 		in := 0
 		for _, at := range extra[i:] {
-			if at.Sub(from) <= budgetWindow {
+			if at.Sub(from) <= c.bounds.Window {
 				in++
 			}
 		}
 		asked := 0
-		for _, at := range requests {
-			if d := at.Sub(from); d >= -budgetWindow && d <= budgetWindow {
+		for _, s := range c.Sends {
+			if d := s.Begun.Sub(from); d >= -c.bounds.Window && d <= c.bounds.Window {
 				asked++
 			}
 		}
-		if float64(in) > budgetRatio*float64(asked)+budgetReserve {
-			add(Budget, "%d further arrivals for %d requests", in, asked)
+		if float64(in) > c.bounds.Ratio*float64(asked)+c.bounds.Reserve {
+			c.add(from, Budget, "%d further arrivals for %d requests", in, asked)
 			return
 		}
 	}
 }
 
-func checkRecovery(h *History, add report) {
+func (c *checker) recovery() {
 	asked, served := 0, 0
-	for _, s := range h.Sends {
-		if !h.Healed.IsZero() && s.Begun.Sub(h.Healed) > recoveryBound {
+	for _, s := range c.Sends {
+		if !c.Healed.IsZero() && s.Begun.Sub(c.Healed) > c.bounds.Recovery {
 			asked++
 			if s.Status == 200 {
 				served++
@@ -201,6 +269,6 @@
 		}
 	}
 	if asked > 0 && float64(served) < recoveredShare*float64(asked) {
-		add(Recovers, "%d of %d requests served after recovery", served, asked)
+		c.add(c.Healed.Add(c.bounds.Recovery), Recovers, "%d of %d requests served after recovery", served, asked)
 	}
 }
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -33,13 +33,14 @@
 		TrueNotRun:  spoil(func(s *Send) { s.Status = 503 }),
 		StopCutsNo:  spoil(func(s *Send) { s.Status, s.DaemonStops, s.Ended = 0, at(0.5), at(1.2) }),
 		AtMostOnce:  {Sends: []Send{good("r")}, Runs: []Run{{"r", "s", at(1)}, {"r", "t", at(1)}}},
-		LeavingIdle: {Leaves: []Leave{{Server: "s", At: at(0)}}, Runs: []Run{{"r", "s", at(2.1)}}},
-		NeverBack:   {Versions: []VersionSeen{{"d", 6, at(1)}, {"d", 3, at(2)}}},
+		LeavingIdle: {Sends: []Send{good("r")}, Leaves: []Leave{{Server: "s", At: at(0)}}, Runs: []Run{{"r", "s", at(2.1)}}},
+		NeverBack:   {Versions: []VersionSeen{{"d", 1, 6, at(1)}, {"d", 1, 3, at(2)}}},
+		InForce:     {Configured: []Configured{{6, at(0)}}, Versions: []VersionSeen{{"d", 1, 3, at(-1)}, {"d", 1, 3, at(2.1)}}},
 		Budget:      manyExtra,
 		Recovers:    {Healed: at(0), Sends: []Send{{ID: "r", Begun: at(16), Status: 502}}},
 	} {
 		got := map[Promise]bool{}
-		for _, v := range Check(&h) {
+		for _, v := range Check(&h, PageBounds) {
 			got[v.Promise] = true
 		}
 		if diff := cmp.Diff(map[Promise]bool{want: true}, got); diff != "" {
@@ -50,13 +51,18 @@
 
 func TestSoundHistoryBreaksNothing(t *testing.T) {
 	h := History{
-		Sends:    []Send{good("r"), {ID: "q", Status: 503, Once: true}, {ID: "p", Status: 0, DaemonHarmed: true, DaemonStops: at(0)}},
-		Runs:     []Run{{"r", "s", at(1)}},
-		Leaves:   []Leave{{Server: "s", At: at(0)}, {Server: "s", At: at(-9), Excused: true}},
-		Versions: []VersionSeen{{"d", 3, at(1)}, {"d", 6, at(2)}, {"e", 3, at(3)}},
-		Healed:   at(0),
+		Sends: []Send{
+			good("r"), {ID: "q", Status: 503, Once: true}, {ID: "p", Daemon: "h", Begun: at(1), Ended: at(2), DaemonStops: at(0)},
+			{ID: "o", Daemon: "h", Begun: at(4), Ended: at(5), Status: 502},
+		},
+		Runs:       []Run{{"r", "s", at(1)}, {"p", "s", at(1)}, {"o", "s", at(4)}},
+		Leaves:     []Leave{{Server: "s", At: at(0)}},
+		Configured: []Configured{{6, at(1)}},
+		Versions:   []VersionSeen{{"d", 1, 3, at(1)}, {"d", 1, 6, at(2)}, {"d", 2, 0, at(3)}, {"h", 1, 3, at(1)}, {"h", 1, 3, at(4)}},
+		Harms:      map[string][]Span{"h": {{at(1.5), at(3)}}},
+		Healed:     at(0),
 	}
-	if v := Check(&h); v != nil {
+	if v := Check(&h, PageBounds); v != nil {
 		t.Errorf("%v", v)
 	}
 }
--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -12,26 +12,24 @@
 	"time"
 
 	"bilberrymux/core/settings"
+	"bilberrymux/io/standin/chaosproxy"
 )
 
-// span is a time during which a daemon was killed, paused or not yet up.
-type span struct {
-	from, to time.Time
-}
-
 // process is one daemon as a process. It is safe for concurrent use.
 type process struct {
 	name     string
 	binary   string
 	folder   string
 	settings *settings.Edge
+	// store is the daemon's way to the store.
+	store *chaosproxy.Proxy
+	harms *harmLog
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	starts  int
 	stopped []time.Time
-	harmed  []span
 }
 
 // start runs the daemon; its lines go to a file of the start.
@@ -72,23 +70,9 @@
 	_ = p.cmd.Process.Signal(s) // a process that has ended needs none
 }
 
-// harm notes that the daemon is not itself until the returned function is called.
-func (p *process) harm() func() {
-	p.mu.Lock()
-	p.harmed = append(p.harmed, span{from: time.Now()})
-	n := len(p.harmed) - 1
-	p.mu.Unlock()
-	return func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.harmed[n].to = time.Now()
-	}
-}
-
 // kill ends the daemon at once and starts it again after a while.
 func (p *process) kill(down time.Duration) error {
-	done := p.harm()
-	defer done()
+	defer p.harms.begin(p.name)()
 	p.signal(syscall.SIGKILL)
 	<-p.ending()
 	time.Sleep(down)
@@ -104,8 +88,7 @@
 	select {
 	case <-p.ending():
 	case <-time.After(p.settings.Bounds.Grace.Duration()):
-		done := p.harm()
-		defer done()
+		defer p.harms.begin(p.name)()
 		p.signal(syscall.SIGKILL)
 		<-p.ending()
 	}
@@ -114,22 +97,25 @@
 
 // pause freezes the daemon for a while.
 func (p *process) pause(d time.Duration) {
-	done := p.harm()
-	defer done()
+	defer p.harms.begin(p.name)()
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	p.signal(syscall.SIGCONT)
 }
 
+// readAgain tells the daemon that its settings file has changed.
+func (p *process) readAgain() {
+	p.signal(syscall.SIGHUP)
+}
+
 func (p *process) ending() chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.ended
 }
 
-// state returns what a request's judgement needs: the last request to stop
-// within the grace before a moment, and whether the daemon was harmed between two.
-func (p *process) state(begun, ended time.Time) (stopped time.Time, harmed bool) {
+// stopOf returns the last request to stop that a request met, or zero.
+func (p *process) stopOf(begun, ended time.Time) (stopped time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, at := range p.stopped {
@@ -137,17 +123,12 @@
 			stopped = at
 		}
 	}
-	for _, s := range p.harmed {
-		if s.from.Before(ended) && (s.to.IsZero() || s.to.After(begun)) {
-			harmed = true
-		}
-	}
-	return stopped, harmed
+	return stopped
 }
 
-// incarnation names the present run of the daemon.
-func (p *process) incarnation() string {
+// incarnation numbers the present run of the daemon.
+func (p *process) incarnation() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return fmt.Sprintf("%s/%d", p.name, p.starts)
+	return p.starts
 }
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -30,14 +31,19 @@
 	Folder         string
 	DaemonsPerZone int
 	Callers        int
-	// Length is the time with faults, Tail that without any after it.
-	Length, Tail time.Duration
+	// Length is the time with faults, Tail that without any after it, Gap the mean
+	// time between two faults.
+	Length, Tail, Gap time.Duration
+	// Faults names those that come; none means all.
+	Faults []string
+	Bounds Bounds
 }
 
-// Event is one fault, for the timeline.
+// Event is one fault, for the timeline, in seconds since the start.
 type Event struct {
-	At   float64 `json:"at"`
-	What string  `json:"what"`
+	At    float64 `json:"at"`
+	Until float64 `json:"until"`
+	What  string  `json:"what"`
 }
 
 // Report is the end of a run.
@@ -47,6 +53,8 @@
 	Served     int         `json:"served"`
 	Faults     []Event     `json:"faults"`
 	Violations []Violation `json:"violations"`
+	start      time.Time
+	history    *History
 }
 
 // hosts are the host of idempotent requests and that of those which run once.
@@ -68,18 +76,30 @@
 	byAddress map[string]*process
 	start     time.Time
 
-	mu      sync.Mutex
-	proxies []*chaosproxy.Proxy
-	servers map[string]*gridserver.Server
-	leaves  []Leave
-	seen    []VersionSeen
-	events  []Event
-	failed  error
+	harms *harmLog
+
+	mu         sync.Mutex
+	proxies    []*chaosproxy.Proxy
+	servers    map[string]*backendServer
+	leaves     []Leave
+	configured []Configured
+	seen       []VersionSeen
+	events     []Event
+	failed     error
+}
+
+// backendServer is one server and the way to it.
+type backendServer struct {
+	*gridserver.Server
+	id    string
+	proxy *chaosproxy.Proxy
 }
 
 // Play harms a deployment as the seed says and checks what was seen.
 func Play(o Options) (*Report, error) {
-	w := &world{options: o, byAddress: map[string]*process{}, servers: map[string]*gridserver.Server{}, start: time.Now()}
+	w := &world{
+		options: o, byAddress: map[string]*process{}, servers: map[string]*backendServer{}, harms: newHarmLog(), start: time.Now(),
+	}
 	defer w.close()
 	if err := w.bringUp(); err != nil {
 		return nil, err
@@ -92,18 +112,18 @@
 		wg.Go(func() { callers[n].run(ctx) })
 	}
 	wg.Go(func() { w.watchVersions(ctx) })
-	w.harm()
+	err := w.harm()
 	healed := time.Now()
 	time.Sleep(o.Tail)
 	cancel()
 	wg.Wait()
-	return w.report(callers, healed), w.failed
+	return w.report(callers, healed), errors.Join(err, w.failed)
 }
 
 // bringUp starts the stand-ins and the daemons, and waits until one is ready.
 func (w *world) bringUp() error {
 	var err error
-	w.fleet, err = gridfleet.Start(gridfleet.Options{Zones: []ident.ZoneID{"north", "south"}, Through: w.through})
+	w.fleet, err = gridfleet.Start(gridfleet.Options{Zones: []ident.ZoneID{"north", "south"}})
 	if err != nil {
 		return err
 	}
@@ -118,7 +138,12 @@
 	for zone := range 2 {
 		for n := range w.options.DaemonsPerZone {
 			s := w.fleet.Settings(zone, n)
-			p := &process{name: string(s.VM), binary: w.options.Binary, folder: w.options.Folder, settings: s}
+			way, err := w.way(w.fleet.Address)
+			if err != nil {
+				return err
+			}
+			s.Store = way.Address()
+			p := &process{name: string(s.VM), binary: w.options.Binary, folder: w.options.Folder, settings: s, store: way, harms: w.harms}
 			w.daemons = append(w.daemons, p)
 			w.byAddress[s.CallerAddress] = p
 			if err := p.start(); err != nil {
@@ -138,15 +163,16 @@
 	return fmt.Errorf("soak: no daemon became ready")
 }
 
-func (w *world) through(address string) (string, error) {
+// way returns a new way to an address, which can be harmed.
+func (w *world) way(address string) (*chaosproxy.Proxy, error) {
 	p, err := chaosproxy.New(address)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.proxies = append(w.proxies, p)
-	return p.Address(), nil
+	return p, nil
 }
 
 func (w *world) configure() {
@@ -156,17 +182,28 @@
 			Name: kind, Host: hosts[i], Prefix: "/x/", Kind: kind, Timeout: 1.5, Target: 0.5, Priority: i, Attempts: 2, Service: services[i],
 		})
 	}
-	w.fleet.Configure(routes, services[:]...)
+	version := w.fleet.Configure(routes, services[:]...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.configured = append(w.configured, Configured{version, time.Now()})
 }
 
 func (w *world) addServer(id, service string, zone int) error {
-	s, err := w.fleet.AddServer(id, service, zone, work)
+	b := &backendServer{id: id}
+	s, err := w.fleet.AddServerBehind(id, service, zone, work, func(address string) (string, error) {
+		var err error
+		if b.proxy, err = w.way(address); err != nil {
+			return "", err
+		}
+		return b.proxy.Address(), nil
+	})
 	if err != nil {
 		return err
 	}
+	b.Server = s
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.servers[id] = s
+	w.servers[id] = b
 	return nil
 }
 
@@ -178,15 +215,15 @@
 	client := http.Client{Timeout: versionPeriod}
 	for ctx.Err() == nil {
 		for _, p := range w.daemons {
-			name := p.incarnation()
+			run := p.incarnation()
 			address := fmt.Sprintf("http://%s:%d/metrics", p.settings.IP, p.settings.MetricsPort)
 			resp, err := client.Get(address)
 			if err != nil {
 				continue
 			}
-			if v, ok := versionOf(resp.Body); ok && p.incarnation() == name {
+			if v, ok := versionOf(resp.Body); ok && p.incarnation() == run {
 				w.mu.Lock()
-				w.seen = append(w.seen, VersionSeen{name, v, time.Now()})
+				w.seen = append(w.seen, VersionSeen{p.name, run, v, time.Now()})
 				w.mu.Unlock()
 			}
 			resp.Body.Close()
@@ -208,8 +245,8 @@
 
 // report checks what callers and servers saw.
 func (w *world) report(callers []*caller, healed time.Time) *Report {
-	h := &History{Healed: healed}
-	r := &Report{Seed: w.options.Seed}
+	h := &History{Healed: healed, Harms: w.harms.all()}
+	r := &Report{Seed: w.options.Seed, start: w.start, history: h}
 	for _, c := range callers {
 		h.Sends = append(h.Sends, c.sends...)
 	}
@@ -220,13 +257,13 @@
 			h.Runs = append(h.Runs, Run{run.ID, id, run.At})
 		}
 	}
-	h.Leaves, h.Versions = w.leaves, w.seen
+	h.Leaves, h.Configured, h.Versions = w.leaves, w.configured, w.seen
 	for _, s := range h.Sends {
 		if s.Status == http.StatusOK {
 			r.Served++
 		}
 	}
-	r.Sends, r.Faults, r.Violations = len(h.Sends), w.events, Check(h)
+	r.Sends, r.Faults, r.Violations = len(h.Sends), w.events, Check(h, w.options.Bounds)
 	return r
 }
 
--- a/io/standin/gridfleet/gridfleet.go
+++ b/io/standin/gridfleet/gridfleet.go
@@ -50,9 +50,6 @@
 	DaemonsPerZone int
 	Log            io.Writer
 	Rules          *netseam.Rules
-	// Through returns the address by which daemons reach one of the store or a
-	// server; nil leaves it.
-	Through func(address string) (string, error)
 	// Grace is the time of a planned stop; zero is three seconds.
 	Grace time.Duration
 }
@@ -118,11 +115,6 @@
 		options: o, Store: store, Address: address, stopStore: stop,
 		servers: map[string]*Entry{}, stop: make(chan struct{}),
 	}
-	if o.Through != nil {
-		if f.Address, err = o.Through(f.Address); err != nil {
-			return nil, err
-		}
-	}
 	go f.report()
 	for z := range o.Zones {
 		for n := range o.DaemonsPerZone {
@@ -218,15 +210,19 @@
 
 // AddServer starts a server of a service in a zone, and its reports.
 func (f *Fleet) AddServer(id, service string, zone int, work time.Duration) (*gridserver.Server, error) {
+	return f.AddServerBehind(id, service, zone, work, func(address string) (string, error) { return address, nil })
+}
+
+// AddServerBehind starts a server that daemons reach by another address.
+func (f *Fleet) AddServerBehind(id, service string, zone int, work time.Duration, way func(address string) (string, error)) (*gridserver.Server, error) {
 	s := gridserver.New(id, work)
-	address, err := s.Listen("127.0.0.1:0")
+	own, err := s.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	if f.options.Through != nil {
-		if address, err = f.options.Through(address); err != nil {
-			return nil, err
-		}
+	address, err := way(own)
+	if err != nil {
+		return nil, err
 	}
 	e := &Entry{
 		Service: service, Address: address, Zone: string(f.options.Zones[zone]), Version: "v1", Capacity: slots,
@@ -255,12 +251,30 @@
 	f.Store.Drop("servers", id)
 }
 
+// RestartServer ends a server at once and starts it again after a while, under its
+// id and at its address, born at the time that its clock shows then.
+func (f *Fleet) RestartServer(id string, down time.Duration, born time.Time) error {
+	f.mu.Lock()
+	e := f.servers[id]
+	f.mu.Unlock()
+	e.server.Stop()
+	time.Sleep(down)
+	if err := e.server.Restart(); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.Born, e.Sequence = born.UnixMilli(), 0
+	f.write(id, e)
+	return nil
+}
+
 // Rename gives the address of a server to another id, as when an address is used
 // again. The row keeps the old id until the next report.
 func (f *Fleet) Rename(id, to string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.servers[id].server.ID = to
+	f.servers[id].server.Rename(to)
 }
 
 func (f *Fleet) write(id string, e *Entry) {
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -45,8 +45,7 @@
 
 // Server is one backend server. It is safe for concurrent use.
 type Server struct {
-	ID string
-
+	id       atomic.Pointer[string]
 	work     atomic.Int64
 	fault    atomic.Pointer[Fault]
 	arrivals atomic.Int64
@@ -75,7 +74,8 @@
 
 // New returns a server whose requests take the given time.
 func New(id string, work time.Duration) *Server {
-	s := &Server{ID: id, conns: map[net.Conn]bool{}, runs: map[string]int{}, bodies: map[string]string{}}
+	s := &Server{conns: map[net.Conn]bool{}, runs: map[string]int{}, bodies: map[string]string{}}
+	s.Rename(id)
 	s.work.Store(int64(work))
 	s.SetFault(Healthy)
 	return s
@@ -94,6 +94,21 @@
 	return l.Addr().String(), nil
 }
 
+// Restart serves again at its address after Stop.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	address := s.listener.Addr().String()
+	s.mu.Unlock()
+	_, err := s.Listen(address)
+	return err
+}
+
+// Rename changes the id by which the server names itself.
+func (s *Server) Rename(id string) { s.id.Store(&id) }
+
+// ID returns the id by which the server names itself.
+func (s *Server) ID() string { return *s.id.Load() }
+
 // SetFault changes how requests fail from now on.
 func (s *Server) SetFault(f Fault) { s.fault.Store(&f) }
 
@@ -182,8 +197,8 @@
 // answer runs one request and reports whether the connection goes on.
 func (s *Server) answer(c net.Conn, r *bufio.Reader, req *http.Request, body string) bool {
 	id := req.Header.Get("Bilberrymux-Request-Id")
-	if target := req.Header.Get("Bilberrymux-Target-Instance"); target != "" && target != s.ID {
-		s.write(c, id, 421, "", "Bilberrymux-Instance-Id: "+s.ID+"\r\n")
+	if target := req.Header.Get("Bilberrymux-Target-Instance"); target != "" && target != s.ID() {
+		s.write(c, id, 421, "", "Bilberrymux-Instance-Id: "+s.ID()+"\r\n")
 		return true
 	}
 	s.arrivals.Add(1)
@@ -235,7 +250,7 @@
 // finish answers a request that ran.
 func (s *Server) finish(c net.Conn, id string, fault Fault) bool {
 	sign := "Bilberrymux-Response-Signature: s." + id + "\r\n"
-	body := "answer of " + s.ID + " to " + id
+	body := "answer of " + s.ID() + " to " + id
 	switch fault {
 	case ResetAfter:
 		abort(c)
