Other zones are asked only where the own zone is late

Cause: with each change of a server's health a datagram went to all other zones and was passed on to every daemon there. Where it told of a newer list than the own zone's reader had read, each of them fetched the change from the far zone, with the list of all daemons (18 KB with 124 of them).

Change: a daemon asks another zone only for a version that its own zone lacked for 0.3 s, or when the list is older than three readers of its zone let it become; the list of daemons comes only to one that has no list yet. Tests in io/discovery.

--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -61,10 +61,13 @@
 	// feedFrom is the version of the store from which changes of the
 	// configuration are asked for.
 	feedFrom uint64
-	rejected map[string]bool
-	pause    time.Duration
-	nextRead time.Time
-	away     bool
+	// heardVersion is the newest version that a peer told of, and since when.
+	heardVersion   ident.Version
+	heardVersionAt time.Time
+	rejected       map[string]bool
+	pause          time.Duration
+	nextRead       time.Time
+	away           bool
 }
 
 // New returns a keeper without a configuration or servers.
@@ -202,8 +205,10 @@
 }
 
 // Lacks compares a message with what is known here. It returns what to ask the
-// sender for, or nil.
+// sender for, or nil. Daemons of other zones are asked only where the own zone
+// does not hear from the store in time.
 func (k *Keeper) Lacks(now time.Time, m *news.Message) *news.StateRequest {
+	own := m.From.Zone == k.options.Zone.Self().Zone
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	version, stamp := k.catalog.Load().Version, k.roster.Load().Stamp
@@ -216,9 +221,23 @@
 	if m.Version <= version && m.Stamp <= k.confirmed {
 		return nil
 	}
-	return &news.StateRequest{Version: version, Stamp: k.confirmed}
+	if m.Version > k.heardVersion {
+		k.heardVersion, k.heardVersionAt = m.Version, now
+	}
+	late := m.Version > version && now.Sub(k.heardVersionAt) > configPatience
+	if !own && !late && age(now, k.serversAt) < k.readAfter(lastReader) {
+		return nil
+	}
+	return &news.StateRequest{Version: version, Stamp: k.confirmed, Members: k.confirmed == 0}
 }
 
+// configPatience is how long a zone may lack a version of the configuration that
+// another one has before it asks there.
+const configPatience = 300 * time.Millisecond
+
+// lastReader is the rank of the reader without whose news a zone asks others.
+const lastReader = 2
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/io/discovery/discovery_test.go
+++ b/io/discovery/discovery_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberrymux/core/catalog"
+	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
 	"bilberrymux/io/news"
@@ -78,3 +79,45 @@
 		}
 	}
 }
+
+// TestOtherZonesAreAskedOnlyWhereTheOwnIsLate lets a daemon hear from another zone
+// of a newer list and a newer version: it asks there only once its own zone had time
+// to learn of them.
+func TestOtherZonesAreAskedOnlyWhereTheOwnIsLate(t *testing.T) {
+	server, store := startStore(t)
+	server.Put("servers", "1", rowOf(1, 0))
+	k := keeper(t, store)
+	if err := k.ReadServers(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	from := func(z ident.ZoneID, stamp uint64, version ident.Version) *news.Message {
+		return &news.Message{From: zoned(z), Stamp: stamp, Version: version}
+	}
+	if k.Lacks(now, from("", 99, 0)) == nil {
+		t.Error("a newer list in the own zone is not asked for")
+	}
+	if r := k.Lacks(now, from("far", 99, 7)); r != nil {
+		t.Errorf("another zone is asked at once: %+v", r)
+	}
+	soon := now.Add(2 * configPatience)
+	if r := k.Lacks(soon, from("far", 0, 7)); r == nil || r.Members {
+		t.Errorf("a version that stays away from the own zone: asked for %+v", r)
+	}
+	late := now.Add(k.readAfter(lastReader) + time.Millisecond)
+	if k.Lacks(late, from("far", 99, 0)) == nil {
+		t.Error("a list that nobody of the own zone reads is not asked for")
+	}
+}
+
+// TestNewDaemonAsksForTheOthers checks that only a daemon without any list asks
+// who else there is.
+func TestNewDaemonAsksForTheOthers(t *testing.T) {
+	_, store := startStore(t)
+	r := keeper(t, store).Lacks(time.Now(), &news.Message{From: zoned("far"), Stamp: 3, Version: 1})
+	if r == nil || !r.Members {
+		t.Errorf("asked for %+v", r)
+	}
+}
+
+func zoned(z ident.ZoneID) zone.Member { return zone.Member{VM: "b", Zone: z} }
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -275,7 +275,9 @@
 // answerPeer returns what a peer lacks.
 func (e *Edge) answerPeer(r *news.StateRequest) *news.State {
 	s := e.keeper.Answer(r)
-	s.Members = append(e.members.All(), e.members.Self())
+	if r.Members {
+		s.Members = append(e.members.All(), e.members.Self())
+	}
 	return s
 }
 
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -62,6 +62,8 @@
 type StateRequest struct {
 	Version ident.Version `cbor:"1,keyasint"`
 	Stamp   uint64        `cbor:"2,keyasint"`
+	// Members asks for the daemons that the peer knows.
+	Members bool `cbor:"3,keyasint,omitempty"`
 }
 
 // State is what a daemon knows of the platform, in the platform's own bytes.
