Sick servers of large services are left alone while the service is well; zones tell each other of small services only

What the floor lost counted as the service's loss, so it called for more of the same.

Change: while the service is well, servers in doubt are left alone for 4 s (10 s by requests that can't be sent again); what the floor loses does not count as distress; in distress all servers of a large service get work, also from unsafe requests. Changes of health are told to other zones only for services of fewer than 20 servers; versions are told to them once a second.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -119,7 +119,9 @@
 	Risk float64
 	// Age is the age of the newest evidence at that moment; it is negative for a
 	// server that was never tried.
-	Age     time.Duration
+	Age time.Duration
+	// Floor says that the server was picked to stay in use, not for its cost.
+	Floor   bool
 	Started time.Time
 	route   string
 }
--- a/core/belief/belief_test.go
+++ b/core/belief/belief_test.go
@@ -209,6 +209,57 @@
 	}
 }
 
+// TestSickServersOfALargeServiceAreLeftAloneWhileItIsWell checks that the floor does
+// not send work to servers in doubt as long as the service is well, and that it does
+// once the service loses requests.
+func TestSickServersOfALargeServiceAreLeftAloneWhileItIsWell(t *testing.T) {
+	for _, test := range []struct {
+		idempotent, lost bool
+		least, most      int
+	}{
+		{false, false, 0, 0},
+		{true, false, 0, 0},
+		{false, true, 6, 6},
+		{true, true, 6, 6},
+	} {
+		s := newScript(t)
+		var list []string
+		for n := range 24 {
+			list = append(list, "s"+strconv.Itoa(n)+":a1:2")
+		}
+		s.list(list)
+		sick := map[ident.ServerID]bool{}
+		for n := range 24 {
+			outcome, id := Good, ident.ServerID("s"+strconv.Itoa(n))
+			if n < 6 {
+				outcome, sick[id] = Broken, true
+			}
+			s.book.End(s.now, &Attempt{Server: s.server(string(id)), route: "r"}, outcome, time.Millisecond)
+		}
+		if test.lost {
+			for range 20 {
+				s.book.Settled(s.now, "svc", false)
+			}
+		}
+		tried := map[ident.ServerID]bool{}
+		for range 190 {
+			s.now = s.now.Add(20 * time.Millisecond)
+			a := s.book.Pick(s.now, &Ask{Servers: s.roster.Of("svc"), Route: "r", Target: time.Second, Idempotent: test.idempotent})
+			outcome := Good
+			if sick[a.Server.ID] {
+				outcome, tried[a.Server.ID] = Broken, true
+				if !a.Floor {
+					t.Errorf("%+v: %s was picked for its cost", test, a.Server.ID)
+				}
+			}
+			s.book.End(s.now, a, outcome, time.Millisecond)
+		}
+		if n := len(tried); n < test.least || n > test.most {
+			t.Errorf("%+v: %d of 6 sick servers got work in 3.8 s", test, n)
+		}
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	book := New(Options{Zone: "a1", Changed: func(roster.Server, float64, Outcome) {}})
 	var servers []roster.Server
--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -28,6 +28,12 @@
 	// of a zone don't do the same at the same time.
 	floorPeriod = time.Second
 	floorSpread = 800 * time.Millisecond
+	// doubtFrom is the belief from which a server is left alone for longer while
+	// the service is well: for doubtPeriod, or doubtPeriodOnce where the request
+	// can't be sent again.
+	doubtFrom       = 0.15
+	doubtPeriod     = 4 * time.Second
+	doubtPeriodOnce = 10 * time.Second
 	// lossTime is the time constant of the running share of lost requests.
 	lossTime = 2 * time.Second
 )
@@ -42,7 +48,9 @@
 	return l.all > 0 && l.lost/l.all >= distressFrom
 }
 
-// Settled records whether a request for a service got a good answer.
+// Settled records whether a request for a service got a good answer. Requests that
+// the floor sent somewhere don't count: what they lose must not call for more of
+// them.
 func (b *Book) Settled(now time.Time, service ident.ServiceID, served bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -71,7 +79,8 @@
 	if len(ask.Servers) == 0 || len(ask.Tried) > 0 {
 		return nil
 	}
-	if len(ask.Servers) < floorAlways && !b.lossOf(ask.Servers[0].Service).distressed() {
+	distressed := b.lossOf(ask.Servers[0].Service).distressed()
+	if len(ask.Servers) < floorAlways && !distressed {
 		return nil
 	}
 	type rated struct {
@@ -88,12 +97,15 @@
 	}
 	slices.SortStableFunc(all, func(x, y rated) int { return cmp.Compare(x.risk, y.risk) })
 	size := len(all)
-	if !ask.Idempotent || ask.Last {
+	if (!ask.Idempotent || ask.Last) && (!distressed || len(ask.Servers) < floorAlways) {
 		// A request that can't be sent again stays off those most likely sick.
 		size = min(size, int(math.Ceil((b.options.FloorShare+floorMargin)*float64(size))))
 	}
 	for _, r := range all[:size] {
 		wait := b.floorWait(r.server.ID)
+		if !distressed && r.risk >= doubtFrom {
+			wait += doubt(ask)
+		}
 		idle := now.Sub(r.state.picked) > wait && now.Sub(r.state.at) > wait
 		usable := len(r.state.active) == 0 && !now.Before(r.state.pathUntil) && !r.state.misdirected
 		if r.server.Zone == b.options.Zone && idle && usable {
@@ -103,6 +115,14 @@
 	return nil
 }
 
+// doubt returns how much longer a server in doubt is left alone.
+func doubt(ask *Ask) time.Duration {
+	if ask.Idempotent && !ask.Last {
+		return doubtPeriod
+	}
+	return doubtPeriodOnce
+}
+
 // floorWait returns how long this daemon lets a server of the floor go without
 // work.
 func (b *Book) floorWait(id ident.ServerID) time.Duration {
--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -87,11 +87,12 @@
 	if best == nil {
 		return nil
 	}
-	if due := b.floorDue(now, ask); due != nil {
+	due := b.floorDue(now, ask)
+	if due != nil {
 		best, bestState = due, b.state(now, due.Key())
 	}
 	bestState.picked = now
-	a := &Attempt{Server: *best, Risk: bestState.riskAt(now), Age: -1, Started: now, route: ask.Route}
+	a := &Attempt{Server: *best, Floor: due != nil, Risk: bestState.riskAt(now), Age: -1, Started: now, route: ask.Route}
 	if bestState.tried {
 		a.Age = now.Sub(bestState.at)
 	}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -53,6 +53,8 @@
 	results chan ended
 	waiting int
 	cancels map[*belief.Attempt]context.CancelFunc
+	// floor says that an attempt went to a server so that it stays in use.
+	floor bool
 }
 
 // ended is the end of one attempt.
@@ -74,7 +76,7 @@
 		results: make(chan ended, maxUnreached+k.route.Attempts+1), cancels: map[*belief.Attempt]context.CancelFunc{},
 	}
 	answer, refused := r.drive(ctx)
-	if refused == nil || refused.Kind != refusal.CallerGone {
+	if !r.floor && (refused == nil || refused.Kind != refusal.CallerGone) {
 		served := refused == nil && answer.response.StatusCode() < fasthttp.StatusInternalServerError
 		e.book.Settled(time.Now(), k.service, served)
 	}
@@ -143,6 +145,7 @@
 		return false
 	}
 	r.tried = append(r.tried, a.Server.Key())
+	r.floor = r.floor || a.Floor
 	r.waiting++
 	child, cancel := context.WithCancel(ctx)
 	r.cancels[a] = cancel
@@ -281,7 +284,7 @@
 	}
 	fields := logrus.Fields{
 		"request": k.id, "route": k.route.Name, "service": k.service, "server": a.Server.ID, "outcome": o,
-		"risk": a.Risk, "evidenceAgeMillis": a.Age.Milliseconds(), "tookMillis": took.Milliseconds(),
+		"risk": a.Risk, "evidenceAgeMillis": a.Age.Milliseconds(), "floor": a.Floor, "tookMillis": took.Milliseconds(),
 	}
 	if err != nil {
 		fields["error"] = err.Error()
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -32,9 +32,15 @@
 	maxReports = 40
 	// crashLife is how long a crash is told of.
 	crashLife = time.Second
-	// gateways is the number of daemons in each other zone that are told of a
-	// server's change.
-	gateways = 2
+	// farPeriod is the time between two datagrams with versions to the other zones,
+	// and gateways the number of daemons in each of them that get one.
+	farPeriod = time.Second
+	gateways  = 2
+	// envoyKey orders the daemons of a zone as the one that sends them.
+	envoyKey = "envoy"
+	// sharedBelow is the number of servers from which a service's health is told in
+	// the own zone only: each zone has enough of them then.
+	sharedBelow = 20
 )
 
 // tableDaemons is the table of the daemons' own rows.
@@ -132,14 +138,18 @@
 // gossip tells the zone about this daemon and its servers until the context
 // ends.
 func (e *Edge) gossip(ctx context.Context) {
-	ticker := time.NewTicker(newsPeriod)
-	defer ticker.Stop()
+	near, far := time.NewTicker(newsPeriod), time.NewTicker(farPeriod)
+	defer near.Stop()
+	defer far.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-far.C:
+			e.tellVersions(time.Now())
+			continue
 		case <-e.urgentNews:
-		case <-ticker.C:
+		case <-near.C:
 		}
 		e.tellZone(time.Now())
 	}
@@ -187,7 +197,17 @@
 	e.metrics.Count(meter.Name("belief.changes",
 		meter.Label{Key: "to", Value: string(belief.HealthOf(risk))}, meter.Label{Key: "cause", Value: string(o)}))
 	e.hurry()
-	e.tasks.Go(func() { e.tellOthers(s.Key()) })
+	if len(e.keeper.Roster().Of(s.Service)) < sharedBelow {
+		e.tasks.Go(func() { e.tellOthers(s.Key()) })
+	}
+}
+
+// tellVersions tells the other zones of the versions that this one knows, if it is
+// this daemon's turn.
+func (e *Edge) tellVersions(now time.Time) {
+	if e.members.Rank(envoyKey) == 0 {
+		e.post.Send(e.message(now), addresses(e.members.Gateways(gateways)))
+	}
 }
 
 // tellOthers tells the other zones of one server.
