--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -2,11 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
-	"net/netip"
-	"strconv"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,10 +9,8 @@
 	"bilberrymux/core/belief"
 	"bilberrymux/core/catalog"
 	"bilberrymux/core/event"
-	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
-	"bilberrymux/io/loop"
 	"bilberrymux/io/meter"
 	"bilberrymux/io/news"
 )
@@ -30,8 +23,6 @@
 	reportAge = 700 * time.Millisecond
 	// maxReports bounds the servers of one datagram.
 	maxReports = 40
-	// crashLife is how long a crash is told of.
-	crashLife = time.Second
 	// farPeriod is the time between two datagrams with versions to the other zones,
 	// and gateways the number of daemons in each of them that get one.
 	farPeriod = time.Second
@@ -43,90 +34,6 @@
 	sharedBelow = 20
 )
 
-// tableDaemons is the table of the daemons' own rows.
-const tableDaemons = "daemons"
-
-// joinTimeout bounds one call of the store at the start.
-const joinTimeout = time.Second
-
-// joinPause is the pause between two attempts to reach the store at the start.
-const joinPause = 500 * time.Millisecond
-
-// join makes this daemon known and learns the others, the configuration and the
-// servers, from the store or, while it is away, from daemons at the seed
-// addresses.
-func (e *Edge) join(ctx context.Context) {
-	e.sayHello(e.seedAddresses())
-	e.background.Go(func() { e.keeper.FollowConfig(ctx) })
-	e.background.Go(func() { e.keeper.FollowServers(ctx) })
-	for ctx.Err() == nil {
-		err := e.register(ctx)
-		if err == nil {
-			return
-		}
-		e.log.WithError(err).Warn("daemon not registered")
-		if !loop.Sleep(ctx, joinPause) {
-			return
-		}
-	}
-}
-
-// register writes the own row and reads those of the others.
-func (e *Edge) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	self := e.members.Self()
-	value, err := json.Marshal(self)
-	if err != nil {
-		return err
-	}
-	if err := e.store.Put(ctx, tableDaemons, string(self.VM), value); err != nil {
-		return err
-	}
-	rows, _, err := e.store.Rows(ctx, tableDaemons)
-	if err != nil {
-		return err
-	}
-	for _, r := range rows {
-		var m zone.Member
-		if err := json.Unmarshal(r.Value, &m); err != nil || m.VM == "" {
-			e.log.WithField("row", r.Key).Warn("row names no daemon")
-			continue
-		}
-		e.members.Learn(m)
-	}
-	e.sayHello(append(addresses(e.members.Peers()), addresses(e.members.Gateways(gateways))...))
-	return nil
-}
-
-// sayHello tells daemons that this one has started.
-func (e *Edge) sayHello(to []string) {
-	m := e.message(time.Now())
-	m.Hello = true
-	e.post.Send(m, to)
-}
-
-// seedAddresses returns where the daemons of the seeds listen for peers.
-func (e *Edge) seedAddresses() []string {
-	var out []string
-	for _, s := range e.settings.Seeds {
-		a, err := netip.ParseAddrPort(s)
-		if err != nil || a.Addr().String() == e.settings.IP {
-			continue
-		}
-		out = append(out, net.JoinHostPort(a.Addr().String(), strconv.Itoa(e.settings.PeerPorts[0])))
-	}
-	return out
-}
-
-func addresses(members []zone.Member) []string {
-	out := make([]string, 0, len(members))
-	for _, m := range members {
-		out = append(out, m.PeerAddress)
-	}
-	return out
-}
-
 // message describes this daemon.
 func (e *Edge) message(now time.Time) *news.Message {
 	e.members.SetReady(e.ready())
@@ -320,57 +227,3 @@
 	}
 	e.hurry()
 }
-
-// crashLog holds the crashes that are still told of.
-type crashLog struct {
-	mu      sync.Mutex
-	crashes []news.Crash
-	at      []time.Time
-}
-
-func (l *crashLog) add(now time.Time, c news.Crash) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.crashes, l.at = append(l.crashes, c), append(l.at, now)
-}
-
-func (l *crashLog) recent(now time.Time) []news.Crash {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for len(l.at) > 0 && now.Sub(l.at[0]) > crashLife {
-		l.crashes, l.at = l.crashes[1:], l.at[1:]
-	}
-	return append([]news.Crash(nil), l.crashes...)
-}
-
-// checkTimeout bounds the check whether a server died.
-const checkTimeout = 400 * time.Millisecond
-
-// checkCrash finds out whether a server that cut off an exchange died of it.
-func (e *Edge) checkCrash(k *call, a *belief.Attempt) {
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-	defer cancel()
-	if e.backend.Reachable(ctx, a.Server.Address) {
-		return
-	}
-	now := time.Now()
-	c := news.Crash{Service: k.service, Server: a.Server.ID, Fingerprint: k.fingerprint}
-	e.crashes.add(now, c)
-	e.takeCrashes(now, []news.Crash{c})
-	e.hurry()
-	m := e.message(now)
-	m.Relay = true
-	e.post.Send(m, addresses(e.members.Gateways(gateways)))
-}
-
-func (e *Edge) takeCrashes(now time.Time, crashes []news.Crash) {
-	for _, c := range crashes {
-		found := e.poison.Crashed(now, c.Service, c.Server, []ident.Fingerprint{c.Fingerprint})
-		for _, q := range found {
-			e.count("poison.quarantined")
-			e.log.WithFields(logrus.Fields{
-				"service": q.Service, "fingerprint": strconv.FormatUint(uint64(q.Fingerprint), 16), "servers": q.Servers,
-			}).Warn(event.Quarantined)
-		}
-	}
-}
