One way to write refusals; tests of the grid keep their log; the floor's pace

Cause: the body of a refusal and the kinds of the library's errors were written twice, in front and edge (io/answer now). Tests of the grid now print the daemons' warnings when they fail.

A server that is left alone for 1 to 1.8 s after its last answer goes without a new request for more than 2 s where work takes 0.4 s, and 4 s more of doubt were too many. Change: 0.8 to 1.3 s, 1.2 s more of doubt, 4 s for requests that can't be sent again.

--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -26,14 +26,14 @@
 	// floorPeriod is how long a server of the floor may go without work, and
 	// floorSpread what is added at most, by server and daemon, so that the daemons
 	// of a zone don't do the same at the same time.
-	floorPeriod = time.Second
-	floorSpread = 800 * time.Millisecond
+	floorPeriod = 800 * time.Millisecond
+	floorSpread = 500 * time.Millisecond
 	// doubtFrom is the belief from which a server is left alone for longer while
-	// the service is well: for doubtPeriod, or doubtPeriodOnce where the request
+	// the service is well: by doubtPeriod, or doubtPeriodOnce where the request
 	// can't be sent again.
 	doubtFrom       = 0.15
-	doubtPeriod     = 4 * time.Second
-	doubtPeriodOnce = 10 * time.Second
+	doubtPeriod     = 1200 * time.Millisecond
+	doubtPeriodOnce = 4 * time.Second
 	// lossTime is the time constant of the running share of lost requests.
 	lossTime = 2 * time.Second
 )
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +14,7 @@
 	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
+	"bilberrymux/io/answer"
 	"bilberrymux/io/hop"
 	"bilberrymux/io/meter"
 	"bilberrymux/io/watch"
@@ -180,18 +179,9 @@
 	), took)
 }
 
-// body is the body of a refusal.
-type body struct {
-	Kind    refusal.Kind    `json:"kind"`
-	Outcome refusal.Outcome `json:"outcome"`
-	Text    string          `json:"text"`
-	Detail  string          `json:"detail,omitempty"`
-}
-
 // refuse answers in place of a server. The statuses that promise that nothing
 // ran are given only where that is true.
 func (f *front) refuse(c *fiber.Ctx, k *call, r *refusal.Error) {
-	answer := refusal.Of(r.Kind)
 	f.edge.countBy("refusals", "kind", string(r.Kind))
 	fields := logrus.Fields{"kind": r.Kind, "outcome": r.Outcome(), "detail": r.Detail}
 	if k != nil {
@@ -204,20 +194,11 @@
 	}
 	f.edge.log.WithFields(fields).Warn(event.Refused)
 	status := statusOf(r)
-	text, err := json.Marshal(body{r.Kind, r.Outcome(), answer.Text, r.Detail})
-	if err != nil {
-		f.edge.log.WithError(err).Error("refusal without a body")
-	}
 	c.Status(status)
-	if promises(status) && answer.RetryAfter > 0 {
-		pause := answer.RetryAfter
-		if r.RetryAfter > 0 {
-			pause = r.RetryAfter
-		}
+	if pause := answer.PauseOf(r); promises(status) && pause > 0 {
 		c.Set(fiber.HeaderRetryAfter, platform.FormatRetryAfter(pause))
 	}
-	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
-	c.Response().SetBody(text)
+	answer.SetBody(c, r)
 }
 
 // statusOf returns the status of a refusal, never one that promises what may not
@@ -242,16 +223,6 @@
 
 // failed answers what the library refused before a handler ran.
 func (f *front) failed(c *fiber.Ctx, err error) error {
-	var fe *fiber.Error
-	kind := refusal.Internal
-	if errors.As(err, &fe) {
-		switch fe.Code {
-		case fiber.StatusRequestEntityTooLarge:
-			kind = refusal.BodyTooLarge
-		case fiber.StatusBadRequest, fiber.StatusRequestHeaderFieldsTooLarge:
-			kind = refusal.BadRequest
-		}
-	}
-	f.refuse(c, nil, refusal.New(kind, "%v", err))
+	f.refuse(c, nil, refusal.New(answer.KindOf(err), "%v", err))
 	return nil
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -20,6 +18,7 @@
 	"bilberrymux/core/ident"
 	"bilberrymux/core/once"
 	"bilberrymux/core/refusal"
+	"bilberrymux/io/answer"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/hop"
 	"bilberrymux/io/router"
@@ -115,55 +114,21 @@
 
 // failed answers what the library refused before a handler ran.
 func (f *Front) failed(c *fiber.Ctx, err error) error {
-	var fe *fiber.Error
-	kind := refusal.Internal
-	if errors.As(err, &fe) {
-		switch fe.Code {
-		case fiber.StatusRequestEntityTooLarge:
-			kind = refusal.BodyTooLarge
-		case fiber.StatusBadRequest, fiber.StatusRequestHeaderFieldsTooLarge:
-			kind = refusal.BadRequest
-		}
-	}
-	f.refuse(c, refusal.New(kind, "%v", err))
+	f.refuse(c, refusal.New(answer.KindOf(err), "%v", err))
 	return nil
 }
 
-// Refusal is the body of a refusal.
-type Refusal struct {
-	Kind    refusal.Kind    `json:"kind"`
-	Outcome refusal.Outcome `json:"outcome"`
-	Resend  bool            `json:"resend"`
-	Text    string          `json:"text"`
-	Detail  string          `json:"detail,omitempty"`
-	// RetryAfterMillis is the pause that the caller is asked for.
-	RetryAfterMillis int64 `json:"retryAfterMillis,omitempty"`
-}
-
 func (f *Front) refuse(c *fiber.Ctx, e *refusal.Error) {
-	answer := refusal.Of(e.Kind)
 	f.options.Count("refusal." + string(e.Kind))
-	pause := answer.RetryAfter
-	if e.RetryAfter > 0 {
-		pause = e.RetryAfter
-	}
-	body, err := json.Marshal(Refusal{
-		Kind: e.Kind, Outcome: e.Outcome(), Resend: answer.Resend, Text: answer.Text, Detail: e.Detail,
-		RetryAfterMillis: pause.Milliseconds(),
-	})
-	if err != nil {
-		body = []byte("{}")
-	}
-	c.Status(answer.Status)
+	c.Status(refusal.Of(e.Kind).Status)
 	c.Set(RefusalHeader, string(e.Kind))
 	c.Set(OutcomeHeader, string(e.Outcome()))
-	if pause > 0 {
+	if pause := answer.PauseOf(e); pause > 0 {
 		// Retry-After counts whole seconds; the body has the exact time.
 		seconds := int64((pause + time.Second - 1) / time.Second)
 		c.Set(fiber.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
 	}
-	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
-	c.Response().SetBodyRaw(body)
+	answer.SetBody(c, e)
 }
 
 // serve handles one request for a service.
--- a/io/standin/fleet/fleet_test.go
+++ b/io/standin/fleet/fleet_test.go
@@ -18,6 +18,7 @@
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
 	"bilberrymux/core/settings"
+	"bilberrymux/io/answer"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/dispatch"
 	"bilberrymux/io/front"
@@ -99,9 +100,9 @@
 	return resp
 }
 
-func refusalOf(t *testing.T, resp *fasthttp.Response) front.Refusal {
+func refusalOf(t *testing.T, resp *fasthttp.Response) answer.Refusal {
 	t.Helper()
-	var r front.Refusal
+	var r answer.Refusal
 	if err := json.Unmarshal(resp.Body(), &r); err != nil {
 		t.Fatalf("no refusal: %d %s", resp.StatusCode(), resp.Body())
 	}
--- a/io/standin/gridfleet/explain_test.go
+++ b/io/standin/gridfleet/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +27,19 @@
 	return b.out.Write(p)
 }
 
+// warnings returns the lines about what went wrong.
+func (b *logBuffer) warnings() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out strings.Builder
+	for line := range strings.Lines(b.out.String()) {
+		if strings.Contains(line, `"level":"warning"`) {
+			out.WriteString(line)
+		}
+	}
+	return out.String()
+}
+
 func (b *logBuffer) lines(t *testing.T) []explain.Line {
 	t.Helper()
 	b.mu.Lock()
--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -54,11 +54,21 @@
 	if o.DaemonsPerZone == 0 {
 		o.DaemonsPerZone = 2
 	}
+	var log *logBuffer
+	if o.Log == nil {
+		log = &logBuffer{}
+		o.Log = log
+	}
 	f, err := Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(f.Stop)
+	t.Cleanup(func() {
+		f.Stop()
+		if t.Failed() && log != nil {
+			t.Log(log.warnings())
+		}
+	})
 	servers := map[string]*gridserver.Server{}
 	for _, service := range []string{"reader", "booker"} {
 		for n := range 2 {
--- a/io/standin/load/load.go
+++ b/io/standin/load/load.go
@@ -19,6 +19,7 @@
 
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
+	"bilberrymux/io/answer"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/front"
 	"bilberrymux/io/standin/backendserver"
@@ -353,7 +354,7 @@
 // judge reads an answer and notes what it claims.
 func (l *Load) judge(s *Stream, id, key string, resp *fasthttp.Response) sent {
 	if kind := string(resp.Header.Peek(front.RefusalHeader)); kind != "" {
-		var r front.Refusal
+		var r answer.Refusal
 		if err := json.Unmarshal(resp.Body(), &r); err != nil {
 			l.wrong("%s: unreadable refusal %s", id, kind)
 		}
