--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -32,8 +32,8 @@
 	// the service is well: by doubtPeriod, or doubtPeriodOnce where the request
 	// can't be sent again.
 	doubtFrom       = 0.15
-	doubtPeriod     = 1200 * time.Millisecond
-	doubtPeriodOnce = 4 * time.Second
+	doubtPeriod     = 4 * time.Second
+	doubtPeriodOnce = 8 * time.Second
 	// lossTime is the time constant of the running share of lost requests.
 	lossTime = 2 * time.Second
 )
@@ -97,7 +97,7 @@
 	}
 	slices.SortStableFunc(all, func(x, y rated) int { return cmp.Compare(x.risk, y.risk) })
 	size := len(all)
-	if (!ask.Idempotent || ask.Last) && (!distressed || len(ask.Servers) < floorAlways) {
+	if !ask.Idempotent || ask.Last {
 		// A request that can't be sent again stays off those most likely sick.
 		size = min(size, int(math.Ceil((b.options.FloorShare+floorMargin)*float64(size))))
 	}
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// TestSilentServerIsTheDeadline checks that a request whose server was silent is
+// refused for its deadline, whichever of the two is seen first.
+func TestSilentServerIsTheDeadline(t *testing.T) {
+	r := &run{}
+	r.account(ended{outcome: belief.Silent})
+	got := r.refuse(r.last)
+	if diff := cmp.Diff(&refusal.Error{Kind: refusal.DeadlineRunning, Detail: "0 servers tried", Ran: true}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestBudgetIsShared checks that all daemons which may spend on one host stay
 // within the reserve together.
 func TestBudgetIsShared(t *testing.T) {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -183,7 +183,13 @@
 	case belief.Shed, belief.Misdirected:
 		r.sends++
 		r.last = refusal.ServersShed
-	case belief.Good, belief.Failed, belief.Broken, belief.Silent, belief.Neutral:
+	case belief.Silent:
+		// Its time was up; whether this or the end of the context is seen first is
+		// chance.
+		r.sends++
+		r.ran++
+		r.last = refusal.DeadlineRunning
+	case belief.Good, belief.Failed, belief.Broken, belief.Neutral:
 		r.sends++
 		r.ran++
 		r.last = refusal.ServerFailed
