--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -18,6 +18,9 @@
 	// distressFrom is the share of requests without a good answer from which the
 	// floor counts.
 	distressFrom = 0.06
+	// distressShare is the share of a large service's servers that get work, even
+	// from requests that can't be sent again, while the service loses requests.
+	distressShare = 0.9
 	// floorMargin is added to the share of servers that must stay in use.
 	floorMargin = 0.05
 	// floorAlways is the number of servers from which the floor counts at all
@@ -99,7 +102,11 @@
 	size := len(all)
 	if !ask.Idempotent || ask.Last {
 		// A request that can't be sent again stays off those most likely sick.
-		size = min(size, int(math.Ceil((b.options.FloorShare+floorMargin)*float64(size))))
+		share := b.options.FloorShare + floorMargin
+		if distressed && len(ask.Servers) >= floorAlways {
+			share = distressShare
+		}
+		size = min(size, int(math.Ceil(share*float64(size))))
 	}
 	for _, r := range all[:size] {
 		wait := b.floorWait(r.server.ID)
