The floor of a large service is made of the own zone's servers

Since zones no longer tell each other of large services, servers of other zones count as untried, with less risk than any own server that failed: all of the own sick ones fell beyond the floor, however long ago they failed.

Change: a large service's servers are ranked within the zone. The test of the floor has servers of another zone now and failed before (0 of 6 probed in distress).

--- a/core/belief/belief_test.go
+++ b/core/belief/belief_test.go
@@ -215,18 +215,25 @@
 func TestSickServersOfALargeServiceAreLeftAloneWhileItIsWell(t *testing.T) {
 	for _, test := range []struct {
 		idempotent, lost bool
-		least, most      int
+		// far is the number of servers in another zone, of which nothing is known.
+		far         int
+		least, most int
 	}{
-		{false, false, 0, 0},
-		{true, false, 0, 0},
-		{false, true, 4, 6},
-		{true, true, 6, 6},
+		{false, false, 0, 0, 0},
+		{true, false, 0, 0, 0},
+		{false, true, 0, 4, 6},
+		{true, true, 0, 6, 6},
+		{false, false, 72, 0, 0},
+		{false, true, 72, 4, 6},
 	} {
 		s := newScript(t)
 		var list []string
 		for n := range 24 {
 			list = append(list, "s"+strconv.Itoa(n)+":a1:2")
 		}
+		for n := range test.far {
+			list = append(list, "far"+strconv.Itoa(n)+":b1:2")
+		}
 		s.list(list)
 		sick := map[ident.ServerID]bool{}
 		for n := range 24 {
--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -82,33 +82,12 @@
 	if len(ask.Servers) == 0 || len(ask.Tried) > 0 {
 		return nil
 	}
-	distressed := b.lossOf(ask.Servers[0].Service).distressed()
-	if len(ask.Servers) < floorAlways && !distressed {
+	distressed, large := b.lossOf(ask.Servers[0].Service).distressed(), len(ask.Servers) >= floorAlways
+	if !large && !distressed {
 		return nil
 	}
-	type rated struct {
-		server *roster.Server
-		state  *state
-		risk   float64
-	}
-	all := make([]rated, 0, len(ask.Servers))
-	for _, server := range ask.Servers {
-		if !server.Draining {
-			s := b.state(now, server.Key())
-			all = append(all, rated{server, s, s.riskAt(now)})
-		}
-	}
-	slices.SortStableFunc(all, func(x, y rated) int { return cmp.Compare(x.risk, y.risk) })
-	size := len(all)
-	if !ask.Idempotent || ask.Last {
-		// A request that can't be sent again stays off those most likely sick.
-		share := b.options.FloorShare + floorMargin
-		if distressed && len(ask.Servers) >= floorAlways {
-			share = distressShare
-		}
-		size = min(size, int(math.Ceil(share*float64(size))))
-	}
-	for _, r := range all[:size] {
+	candidates := b.byRisk(now, ask.Servers, large)
+	for _, r := range candidates[:floorSize(len(candidates), ask, b.floorShare(distressed && large))] {
 		wait := b.floorWait(r.server.ID)
 		if !distressed && r.risk >= doubtFrom {
 			wait += doubt(ask)
@@ -122,6 +101,46 @@
 	return nil
 }
 
+// rated is a server with its belief.
+type rated struct {
+	server *roster.Server
+	state  *state
+	risk   float64
+}
+
+// byRisk returns the servers that may get work, the least likely sick first. Of a
+// large service these are the own zone's: little is known of the others.
+func (b *Book) byRisk(now time.Time, servers []*roster.Server, large bool) []rated {
+	out := make([]rated, 0, len(servers))
+	for _, server := range servers {
+		if server.Draining || (large && server.Zone != b.options.Zone) {
+			continue
+		}
+		s := b.state(now, server.Key())
+		out = append(out, rated{server, s, s.riskAt(now)})
+	}
+	slices.SortStableFunc(out, func(x, y rated) int { return cmp.Compare(x.risk, y.risk) })
+	return out
+}
+
+// floorShare returns the share of the servers that get requests which can't be
+// sent again.
+func (b *Book) floorShare(more bool) float64 {
+	if more {
+		return distressShare
+	}
+	return b.options.FloorShare + floorMargin
+}
+
+// floorSize returns how many of the servers, the least likely sick first, belong to
+// the floor of a request: one that can't be sent again stays off the others.
+func floorSize(all int, ask *Ask, share float64) int {
+	if ask.Idempotent && !ask.Last {
+		return all
+	}
+	return min(all, int(math.Ceil(share*float64(all))))
+}
+
 // doubt returns how much longer a server in doubt is left alone.
 func doubt(ask *Ask) time.Duration {
 	if ask.Idempotent && !ask.Last {
