--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -52,7 +52,9 @@
 func TestSoundHistoryBreaksNothing(t *testing.T) {
 	h := History{
 		Sends: []Send{
-			good("r"), {ID: "q", Status: 503, Once: true}, {ID: "p", Daemon: "h", Begun: at(1), Ended: at(2), DaemonStops: at(0)},
+			good("r"),
+			{ID: "q", Status: 503, Once: true},
+			{ID: "p", Daemon: "h", Begun: at(1), Ended: at(2), DaemonStops: at(0)},
 			{ID: "o", Daemon: "h", Begun: at(4), Ended: at(5), Status: 502},
 		},
 		Runs:       []Run{{"r", "s", at(1)}, {"p", "s", at(1)}, {"o", "s", at(4)}},
