--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -15,10 +15,11 @@
 
 // station is one end of the post in a test.
 type station struct {
-	post    *Post
-	socket  net.PacketConn
-	address string
-	heard   chan *Message
+	post   *Post
+	socket net.PacketConn
+	// address takes datagrams, calls takes calls.
+	address, calls string
+	heard          chan *Message
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -30,11 +31,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", socket.LocalAddr().String())
+	// The same number may be taken for TCP, so the calls have one of their own.
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &station{socket: socket, address: socket.LocalAddr().String(), heard: make(chan *Message, 9), counts: map[string]int{}}
+	s := &station{socket: socket, address: socket.LocalAddr().String(), calls: listener.Addr().String(), heard: make(chan *Message, 9), counts: map[string]int{}}
 	s.post = New(Options{
 		Datagrams: socket,
 		Dial: func(ctx context.Context, a string) (net.Conn, error) {
@@ -107,7 +109,7 @@
 	a, b := newStation(t), newStation(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	got, err := a.post.Fetch(ctx, b.address, &StateRequest{Version: 4})
+	got, err := a.post.Fetch(ctx, b.calls, &StateRequest{Version: 4})
 	if err != nil {
 		t.Fatal(err)
 	}
