Mend the three known failures

- serve: a call keeps its own copy of the organisation from the start, so that the scope of an idempotency key no longer changes with the next request on the connection (TestKeyScopeOutlivesRequest was always red, passes now).
- stand-in server: it listens again until it works when another socket has its port (TestKilledServerRestartsOnBusyPort fails without it).

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -221,7 +221,7 @@
 	}
 	call := &router.Call{
 		ID: requestID(c), Service: route.Service, Rank: rankOf(c, route),
-		Organisation: ident.OrganisationID(c.Get(OrganisationHeader)),
+		Organisation: ident.OrganisationID(strings.Clone(c.Get(OrganisationHeader))),
 		Deadline:     deadline, Idempotent: route.Idempotent, LatencyClass: router.LatencyClassOf(route.Prefix),
 	}
 	if key := c.Get(KeyHeader); key != "" && !route.Idempotent {
@@ -234,7 +234,6 @@
 	if call.Key == nil && route.KeyRequired {
 		return nil, refusal.New(refusal.KeyRequired, "")
 	}
-	call.Organisation = ident.OrganisationID(strings.Clone(string(call.Organisation)))
 	call.HTTP = f.newServerRequest(c)
 	call.Fingerprint = router.FingerprintOf(call.HTTP)
 	return call, nil
--- a/io/soak/wrong_test.go
+++ b/io/soak/wrong_test.go
@@ -71,6 +71,7 @@
 	servers  atomic.Pointer[[]roster.Server]
 	version  atomic.Uint64
 	requests atomic.Int64
+	inFlight atomic.Int64
 	failures atomic.Int64
 	client   fasthttp.Client
 }
@@ -105,15 +106,25 @@
 		d.refresh()
 		select {
 		case <-stop:
-			if kind != cutsAtStop {
-				time.Sleep(time.Duration(s.Bounds.Grace) * time.Second / 2)
+			grace := time.Duration(s.Bounds.Grace) * time.Second
+			if kind == cutsAtStop {
+				d.waitForRequest(grace / 2)
+				return nil
 			}
+			time.Sleep(grace / 2)
 			return nil
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
 }
 
+// waitForRequest returns when a request is in flight, or after the given time.
+func (d *wrongDaemon) waitForRequest(limit time.Duration) {
+	for end := time.Now().Add(limit); d.inFlight.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // refresh reads the servers and the configuration version from the store. It keeps the previous
 // values of what it can't read.
 func (d *wrongDaemon) refresh() {
@@ -167,6 +178,8 @@
 // executions.
 func (d *wrongDaemon) serve(ctx *fasthttp.RequestCtx) {
 	n := int(d.requests.Add(1))
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
 	if d.kind == failsPermanently && d.failures.Load() > 0 {
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		return
--- a/io/standin/backendserver/server.go
+++ b/io/standin/backendserver/server.go
@@ -150,17 +150,26 @@
 // warm-up. A server that is stopped in the meantime is not restarted.
 func (s *Server) crash(downTime time.Duration) {
 	s.abortAll()
-	time.AfterFunc(downTime, func() {
-		s.mu.Lock()
-		stopped := s.stopped
-		s.mu.Unlock()
-		if stopped {
-			return
-		}
-		if l, err := net.Listen("tcp", s.address); err == nil {
-			s.serve(l)
-		}
-	})
+	time.AfterFunc(downTime, s.restart)
+}
+
+// restartRetryDelay is the time between two attempts to listen on the address again.
+const restartRetryDelay = 50 * time.Millisecond
+
+// restart listens on the server's address again. While another socket has the port, it retries.
+func (s *Server) restart() {
+	s.mu.Lock()
+	stopped := s.stopped
+	s.mu.Unlock()
+	if stopped {
+		return
+	}
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		time.AfterFunc(restartRetryDelay, s.restart)
+		return
+	}
+	s.serve(l)
 }
 
 // Kill simulates a crash: it aborts all connections and restarts the server after downTime.
--- a/io/standin/backendserver/server_test.go
+++ b/io/standin/backendserver/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -97,3 +98,23 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestKilledServerRestartsOnBusyPort checks that a killed server comes back although another socket
+// has its port when it tries to listen again.
+func TestKilledServerRestartsOnBusyPort(t *testing.T) {
+	s := startServer(t)
+	s.Kill(100 * time.Millisecond)
+	// If the port can't be taken here, another process has it, which is the same case.
+	other, err := net.Listen("tcp", s.Address())
+	time.Sleep(300 * time.Millisecond)
+	if err == nil {
+		other.Close()
+	}
+	status := 0
+	for end := time.Now().Add(waitLimit); status != 200 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		status, _ = sendWork(s, fmt.Sprint(time.Now().UnixNano()))
+	}
+	if status != 200 {
+		t.Errorf("the server did not come back within %s", waitLimit)
+	}
+}
