Retries: one token each, and none without time for it

It took two tokens (handleResult and run both asked allowRetry), failed, and its "silent" made a sound server suspect. Reads then lacked tokens for hedges and for retries after errors.

Change: the decision stands once; a further attempt needs half of the route's usual response time; an error response of a server is delivered when the deadline comes first.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -291,6 +291,21 @@
 	return q.High(), true
 }
 
+// unknownUsualShare is the share of a route's target latency that stands in for its usual response
+// time while that is not known.
+const unknownUsualShare = 0.25
+
+// UsualLatency returns the median response time of the route. While there are too few samples, it
+// is estimated from the target latency.
+func (t *Tracker) UsualLatency(route string, target time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if q := t.latencies[route]; q != nil && q.Warm() {
+		return q.Median()
+	}
+	return time.Duration(unknownUsualShare * float64(target))
+}
+
 // Report is the health of one server as daemons send it to each other. ID and StartMillis
 // identify one run of the server, as in roster.Key.
 type Report struct {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -112,13 +112,19 @@
 				r.startAttempt(ctx)
 			}
 		case <-ctx.Done():
-			return nil, r.refuse(r.timeoutKind(ctx))
+			return r.end(r.timeoutKind(ctx))
 		}
 	}
+	return r.end(r.refusalKind)
+}
+
+// end returns what the caller gets when no attempt brought a good response: the error response
+// of a server if there is one, otherwise a refusal of the given kind.
+func (r *forwardState) end(kind refusal.Kind) (*serverReply, *refusal.Error) {
 	if r.errorReply != nil {
 		return r.errorReply, nil
 	}
-	return nil, r.refuse(r.refusalKind)
+	return nil, r.refuse(kind)
 }
 
 // timeoutKind returns the kind of the refusal after the context ended.
@@ -161,7 +167,7 @@
 }
 
 // handleResult records the result of an attempt. It returns the response for the caller, or nil
-// if the attempt brought none or another attempt may still succeed.
+// if the attempt brought none or another attempt may bring a better one.
 func (r *forwardState) handleResult(result attemptResult) *serverReply {
 	r.recordOutcome(result)
 	if result.answer == nil {
@@ -176,9 +182,6 @@
 		return reply
 	case belief.Failed:
 		r.errorReply = reply
-		if r.pending == 0 && !r.allowRetry(result) {
-			return reply
-		}
 	default:
 	}
 	return nil
@@ -221,12 +224,26 @@
 	if r.mayHaveRun > 0 && !r.call.route.Idempotent {
 		return false
 	}
+	if !r.hasTimeForAttempt() {
+		return false
+	}
 	if r.reached >= r.call.route.Attempts+1 || r.mayHaveRun >= r.call.route.Attempts {
 		return false
 	}
 	return r.takeBudget(string(result.outcome))
 }
 
+// minAttemptShare is the share of the usual response time of a route that must be left until the
+// deadline for a further attempt. An attempt with less time would fail, use up the budget, and
+// look like a fault of its server.
+const minAttemptShare = 0.5
+
+// hasTimeForAttempt reports whether enough time is left for a further attempt.
+func (r *forwardState) hasTimeForAttempt() bool {
+	usual := r.edge.tracker.UsualLatency(r.call.route.Name, r.call.route.TargetLatency)
+	return time.Until(r.call.deadline) >= time.Duration(minAttemptShare*float64(usual))
+}
+
 // takeBudget takes one token from the budget of the service and records a further attempt with
 // the given reason. It returns false if the budget is exhausted.
 func (r *forwardState) takeBudget(reason string) bool {
