Waiting is evidence: attempts without a response count by the time that they waited

Change: core/belief/waiting.go keeps the distribution of response times and the share of hangs by route. An attempt that waits for longer than 98% of responses raises the risk at once and is told to the zone; a late good response takes this back. The likelihood ratio of any attempt without a response follows from the time that it waited, so that one of 0 ms says nothing, and routes whose requests often hang at sound servers say little.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"bilberrymux/core/detect"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
 )
@@ -37,7 +36,11 @@
 	Misdirected Outcome = "misdirected"
 	// Silent means that the server did not respond before the timeout.
 	Silent Outcome = "silent"
-	// Neutral is no evidence: the caller disconnected, or another attempt responded first.
+	// Overdue means that a server has not responded for longer than its route's responses usually
+	// take, while the attempt goes on.
+	Overdue Outcome = "overdue"
+	// Neutral means that this daemon ended the attempt: the caller disconnected, or another attempt
+	// responded first. Like Silent, it is evidence by the time that the attempt had waited.
 	Neutral Outcome = "neutral"
 )
 
@@ -68,7 +71,6 @@
 	Good:   {0.15, 0.98},
 	Failed: {0.4, 0.02},
 	Broken: {0.85, 0.004},
-	Silent: {0.3, 0.01},
 }
 
 // unreachableBackoff is how long a server is avoided after this daemon failed to
@@ -134,6 +136,12 @@
 	Floor   bool
 	Started time.Time
 	route   string
+	// target is the target latency of the route.
+	target time.Duration
+	// crowding is the factor, at least 1, by which the attempts at the server exceed its slots.
+	crowding float64
+	// overdueRatio is the likelihood ratio that Overdue has applied, or 0.
+	overdueRatio float64
 }
 
 // Tracker estimates the health and load of backend servers and picks servers for
@@ -141,7 +149,7 @@
 type Tracker struct {
 	mu        sync.Mutex
 	states    map[roster.Key]*state
-	latencies map[string]*detect.Quantiles
+	latencies map[string]*latencies
 	lossRates map[ident.ServiceID]*lossRate
 	options   Options
 }
@@ -166,7 +174,7 @@
 
 // New returns a Tracker without evidence.
 func New(o Options) *Tracker {
-	return &Tracker{states: map[roster.Key]*state{}, latencies: map[string]*detect.Quantiles{}, lossRates: map[ident.ServiceID]*lossRate{}, options: o}
+	return &Tracker{states: map[roster.Key]*state{}, latencies: map[string]*latencies{}, lossRates: map[ident.ServiceID]*lossRate{}, options: o}
 }
 
 // Sync adds the servers that are new in the roster and removes those that are no longer
@@ -213,10 +221,7 @@
 	if !isEvidence {
 		return
 	}
-	p := s.riskAt(now)
-	p = p * l.sick / (p*l.sick + (1-p)*l.sound)
-	s.risk = min(max(p, minRisk), maxRisk)
-	s.evidenceAt, s.hasEvidence = now, true
+	s.applyRatio(now, l.sick/l.sound)
 }
 
 // End records the outcome of an attempt. The duration of the exchange, took, is used
@@ -226,6 +231,7 @@
 	defer t.mu.Unlock()
 	s := t.state(now, a.Server.Key())
 	s.removeAttempt(a)
+	t.recordWaiting(now, s, a, o)
 	s.observe(now, o)
 	switch o {
 	case Good:
@@ -264,11 +270,7 @@
 // recordLatency adds the response time of a Good outcome to the quantiles of the route
 // and, once these are warm, to the slowness of the server.
 func (t *Tracker) recordLatency(s *state, a *Attempt, took time.Duration) {
-	q := t.latencies[a.route]
-	if q == nil {
-		q = detect.NewQuantiles(lateQuantile)
-		t.latencies[a.route] = q
-	}
+	q := t.latenciesOf(a.route).quantiles
 	if q.Warm() {
 		ratio := math.Log(float64(took) / float64(q.Median()))
 		s.slowness += (ratio - s.slowness) * slownessWeight
@@ -284,26 +286,20 @@
 func (t *Tracker) LateThreshold(route string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q := t.latencies[route]
-	if q == nil || !q.Warm() {
+	q := t.latenciesOf(route).quantiles
+	if !q.Warm() {
 		return 0, false
 	}
 	return q.High(), true
 }
 
-// unknownUsualShare is the share of a route's target latency that stands in for its usual response
-// time while that is not known.
-const unknownUsualShare = 0.25
-
 // UsualLatency returns the median response time of the route. While there are too few samples, it
 // is estimated from the target latency.
 func (t *Tracker) UsualLatency(route string, target time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if q := t.latencies[route]; q != nil && q.Warm() {
-		return q.Median()
-	}
-	return time.Duration(unknownUsualShare * float64(target))
+	median, _ := t.latenciesOf(route).distribution(target)
+	return median
 }
 
 // Report is the health of one server as daemons send it to each other. ID and StartMillis
--- a/core/belief/belief_test.go
+++ b/core/belief/belief_test.go
@@ -109,7 +109,7 @@
 		if len(w) > 3 {
 			took = s.duration(w[3])
 		}
-		s.tracker.End(s.now, &Attempt{Server: s.server(w[1]), route: "r"}, Outcome(w[2]), took)
+		s.tracker.End(s.now, &Attempt{Server: s.server(w[1]), Started: s.now.Add(-took), route: "r", target: time.Second, crowding: 1}, Outcome(w[2]), took)
 	case "hear":
 		s.tracker.Merge(s.now, "other", Report{
 			ID: ident.ServerID(w[1]), StartMillis: 1, Risk: uint8(s.number(w[2]) * riskScale),
@@ -122,7 +122,7 @@
 	case "begin":
 		st := s.tracker.states[roster.Key{ID: ident.ServerID(w[1]), StartMillis: 1}]
 		for range int(s.number(w[2])) {
-			st.active = append(st.active, &Attempt{Server: s.server(w[1]), Started: s.now, route: "r"})
+			st.active = append(st.active, &Attempt{Server: s.server(w[1]), Started: s.now, route: "r", target: time.Second, crowding: 1})
 		}
 	case "pick":
 		return s.pick(w[1:])
--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -49,8 +49,6 @@
 	shedCost        = 0.6
 	// coldStartCost is the cost of a server that has just started.
 	coldStartCost = 0.1
-	// overdueCost is the cost of each overdue attempt at the server.
-	overdueCost = 0.35
 	// suspectLoadCost is multiplied by the risk of a server that is possibly sick and has
 	// in-flight attempts, to keep a second request off it.
 	suspectLoadCost = 0.5
@@ -63,12 +61,6 @@
 // response time are treated as noise.
 const slownessThreshold = 0.4
 
-// overdueFactor is the multiple of the median response time from which an attempt is overdue.
-const overdueFactor = 4
-
-// minOverdueAge is the age below which no attempt is overdue.
-const minOverdueAge = 250 * time.Millisecond
-
 // Pick returns an attempt at the server with the lowest expected cost, or at a server of
 // the floor that is due. The attempt is in flight until End is called. Pick returns nil
 // if no server may take it.
@@ -98,7 +90,10 @@
 		best, bestState = due, t.state(now, due.Key())
 	}
 	bestState.lastPicked = now
-	a := &Attempt{Server: *best, Floor: due != nil, Risk: bestState.riskAt(now), EvidenceAge: -1, Started: now, route: info.Route}
+	a := &Attempt{
+		Server: *best, Floor: due != nil, Risk: t.currentRisk(now, bestState), EvidenceAge: -1, Started: now,
+		route: info.Route, target: info.TargetLatency, crowding: max(1, float64(bestState.busy(now)+1)/float64(max(1, best.Slots))),
+	}
 	if bestState.hasEvidence {
 		a.EvidenceAge = now.Sub(bestState.evidenceAt)
 	}
@@ -108,7 +103,7 @@
 
 // cost returns the expected cost of the attempt at a server.
 func (t *Tracker) cost(now time.Time, info *PickInfo, server *roster.Server, s *state) float64 {
-	risk := s.riskAt(now)
+	risk := t.currentRisk(now, s)
 	cost := risk
 	if info.Idempotent && !info.Last {
 		cost *= failureCostIdempotent
@@ -145,17 +140,9 @@
 	return regionCost
 }
 
-// loadCost returns the cost of the load of the server, including the attempts that other
-// daemons report. Expired reports are deleted.
+// loadCost returns the cost of the load of the server.
 func (t *Tracker) loadCost(now time.Time, info *PickInfo, server *roster.Server, s *state, risk float64) float64 {
-	busy := len(s.active)
-	for vm, e := range s.remote {
-		if now.Sub(e.at) > remoteAttemptsTTL {
-			delete(s.remote, vm)
-			continue
-		}
-		busy += e.count
-	}
+	busy := s.busy(now)
 	slots := max(1, server.Slots)
 	cost := utilizationCost * float64(busy) / float64(slots)
 	if excess := busy - slots + 1; excess > 0 {
@@ -164,19 +151,28 @@
 	if risk >= sickThreshold/2 && busy > 0 {
 		cost += suspectLoadCost * risk
 	}
-	for _, a := range s.active {
-		if now.Sub(a.Started) > t.overdueAfter(a.route) {
-			cost += overdueCost
+	return cost
+}
+
+// busy returns the number of in-flight attempts at the server, including those that other daemons
+// report. Expired reports are deleted.
+func (s *state) busy(now time.Time) int {
+	count := len(s.active)
+	for vm, e := range s.remote {
+		if now.Sub(e.at) > remoteAttemptsTTL {
+			delete(s.remote, vm)
+			continue
 		}
+		count += e.count
 	}
-	return cost
+	return count
 }
 
 // queueCost returns the cost of waiting until all slots of a server were reused once. It
 // grows with the ratio of the median response time to the time left until the target.
 func (t *Tracker) queueCost(info *PickInfo) float64 {
-	q := t.latencies[info.Route]
-	if q == nil || !q.Warm() {
+	q := t.latenciesOf(info.Route).quantiles
+	if !q.Warm() {
 		return unknownQueueCost
 	}
 	median := q.Median()
@@ -186,13 +182,3 @@
 	}
 	return min(1, lateCost*float64(median)/float64(slack))
 }
-
-// overdueAfter returns the age beyond which an attempt of the route is overdue. It is one
-// second while the response time of the route is not known.
-func (t *Tracker) overdueAfter(route string) time.Duration {
-	q := t.latencies[route]
-	if q == nil || !q.Warm() {
-		return time.Second
-	}
-	return max(minOverdueAge, overdueFactor*q.Median())
-}
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -24,6 +24,11 @@
 	remaining := time.Until(k.deadline)
 	platform.SetTargetHeaders(&req.Header, a.Server.ID, remaining)
 	start := time.Now()
+	overdue := time.AfterFunc(e.tracker.OverdueAfter(a), func() {
+		e.tracker.Overdue(time.Now(), a)
+		e.triggerGossip()
+	})
+	defer overdue.Stop()
 	answer, exchangeOutcome, err := e.backend.Do(ctx, a.Server.Address, req, backend.Options{
 		AvoidStale: !k.route.Idempotent,
 		IsMismatched: func(h *fasthttp.ResponseHeader) bool {
