Floor: the zone's loss rate, and one daemon at a time

Cause: each daemon took its own few requests for the service's loss rate (20 in 2 s: two losses are 10%) and turned on its own through all idle servers.

A server in use by any daemon of the zone is not picked for the floor, and a pick is told at once.

--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -43,15 +43,70 @@
 	lossDecayTime = 2 * time.Second
 )
 
-// lossRate is the exponentially decaying share of requests that a service lost.
-type lossRate struct {
+// LossReport holds the decayed numbers of a service's requests that one daemon counted.
+type LossReport struct {
+	Service ident.ServiceID `cbor:"1,keyasint"`
+	// Lost is the number of requests without a good response, out of Total.
+	Lost  float32 `cbor:"2,keyasint"`
+	Total float32 `cbor:"3,keyasint"`
+}
+
+// lossCount holds the decayed number of requests and of those that were lost, at the given time.
+type lossCount struct {
 	lost, total float64
 	at          time.Time
 }
 
+// decayed returns the numbers at the given time.
+func (l lossCount) decayed(now time.Time) lossCount {
+	decay := math.Exp(-float64(now.Sub(l.at)) / float64(lossDecayTime))
+	return lossCount{l.lost * decay, l.total * decay, now}
+}
+
+// lossRate is the exponentially decaying share of requests that a service lost in the zone.
+type lossRate struct {
+	own lossCount
+	// remote holds the counts that other daemons of the zone reported.
+	remote map[ident.VMID]lossCount
+}
+
 // degraded reports whether the loss rate has reached degradedLossRate.
-func (l *lossRate) degraded() bool {
-	return l.total > 0 && l.lost/l.total >= degradedLossRate
+func (l *lossRate) degraded(now time.Time) bool {
+	sum := l.own.decayed(now)
+	for _, r := range l.remote {
+		r = r.decayed(now)
+		sum.lost, sum.total = sum.lost+r.lost, sum.total+r.total
+	}
+	return sum.total > 0 && sum.lost/sum.total >= degradedLossRate
+}
+
+// minReportedTotal is the decayed number of requests below which a loss rate is not reported.
+const minReportedTotal = 0.1
+
+// LossReports returns the loss rates of this daemon's own requests, in no particular order.
+func (t *Tracker) LossReports(now time.Time) []LossReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []LossReport
+	for service, l := range t.lossRates {
+		if own := l.own.decayed(now); own.total >= minReportedTotal {
+			out = append(out, LossReport{Service: service, Lost: float32(own.lost), Total: float32(own.total)})
+		}
+	}
+	return out
+}
+
+// MergeLosses stores the loss rates that another daemon of the zone reports.
+func (t *Tracker) MergeLosses(now time.Time, from ident.VMID, reports []LossReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range reports {
+		l := t.lossRateOf(r.Service)
+		if l.remote == nil {
+			l.remote = map[ident.VMID]lossCount{}
+		}
+		l.remote[from] = lossCount{float64(r.Lost), float64(r.Total), now}
+	}
 }
 
 // RecordRequest records whether a request for a service got a good response. Don't call
@@ -60,10 +115,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.lossRateOf(service)
-	decay := math.Exp(-float64(now.Sub(l.at)) / float64(lossDecayTime))
-	l.lost, l.total, l.at = l.lost*decay, l.total*decay+1, now
+	l.own = l.own.decayed(now)
+	l.own.total++
 	if !served {
-		l.lost++
+		l.own.lost++
 	}
 }
 
@@ -85,7 +140,7 @@
 	if len(info.Servers) == 0 || len(info.Tried) > 0 {
 		return nil
 	}
-	degraded, large := t.lossRateOf(info.Servers[0].Service).degraded(), len(info.Servers) >= largeServiceSize
+	degraded, large := t.lossRateOf(info.Servers[0].Service).degraded(now), len(info.Servers) >= largeServiceSize
 	if !large && !degraded {
 		return nil
 	}
@@ -96,7 +151,7 @@
 			idleLimit += suspectExtraIdle(info)
 		}
 		idle := now.Sub(c.state.lastPicked) > idleLimit && now.Sub(c.state.evidenceAt) > idleLimit
-		usable := len(c.state.active) == 0 && !now.Before(c.state.unreachableUntil) && !c.state.misdirected
+		usable := c.state.busy(now) == 0 && !now.Before(c.state.unreachableUntil) && !c.state.misdirected
 		if c.server.Zone == t.options.Zone && idle && usable {
 			return c.server
 		}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -158,7 +158,11 @@
 		return false
 	}
 	r.tried = append(r.tried, a.Server.Key())
-	r.usedFloor = r.usedFloor || a.Floor
+	if a.Floor {
+		r.usedFloor = true
+		// The other daemons of the zone don't pick the server while it is in use.
+		e.triggerGossip()
+	}
 	r.pending++
 	child, cancel := context.WithCancel(ctx)
 	r.cancels[a] = cancel
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -72,6 +72,7 @@
 	}
 	m := e.message(now)
 	m.Reports = e.tracker.Reports(now, maxReportAge, maxReports)
+	m.Losses = e.tracker.LossReports(now)
 	m.Changes = e.watcher.Changes(e.changesBase(now, m.Revision))
 	e.transport.Send(m, addresses(e.members.Peers()))
 	e.budget.SetOptions(budgetOptions(e.settings, e.ownerCount()))
@@ -162,6 +163,9 @@
 			}).Info(event.BeliefReceived)
 		}
 	}
+	if sameZone {
+		e.tracker.MergeLosses(now, m.From.VM, m.Losses)
+	}
 	e.recordCrashes(now, m.Crashes)
 	if m.Relay {
 		e.relay(m)
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -44,6 +44,8 @@
 	// Changes updates a list of revision Changes.BaseRevision or newer to
 	// Changes.Revision. It may be nil.
 	Changes *Changes `cbor:"11,keyasint,omitempty"`
+	// Losses holds the shares of requests that the sender lost, by service.
+	Losses []belief.LossReport `cbor:"12,keyasint,omitempty"`
 }
 
 // Changes is the difference between two versions of the list of servers. Rows are
