Hedges before the response times are known, earlier at suspect servers

The delay follows from the distribution (estimated from the target while unknown), leaves time before the target, and shrinks with the risk of the server; without a token it is tried again every 50 ms.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -281,18 +281,6 @@
 // lateQuantile is the quantile of a route's response times beyond which a response is late.
 const lateQuantile = 0.95
 
-// LateThreshold returns the response time beyond which a response of the route is late.
-// It returns false while there are too few samples.
-func (t *Tracker) LateThreshold(route string) (time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	q := t.latenciesOf(route).quantiles
-	if !q.Warm() {
-		return 0, false
-	}
-	return q.High(), true
-}
-
 // UsualLatency returns the median response time of the route. While there are too few samples, it
 // is estimated from the target latency.
 func (t *Tracker) UsualLatency(route string, target time.Duration) time.Duration {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -31,9 +31,9 @@
 // maxDialFailures is the maximum number of servers to which one request may fail to connect.
 const maxDialFailures = 4
 
-// minHedgeDelay is the minimum delay before a hedged attempt is started while another one is in
-// flight.
-const minHedgeDelay = 100 * time.Millisecond
+// hedgeRetryDelay is the time after which a hedged attempt is tried again if the budget was
+// exhausted.
+const hedgeRetryDelay = 50 * time.Millisecond
 
 // forwardState is the state of a request that is being forwarded.
 type forwardState struct {
@@ -57,6 +57,8 @@
 	cancels map[*belief.Attempt]context.CancelFunc
 	// usedFloor reports whether an attempt was made to keep the floor of the service in use.
 	usedFloor bool
+	// withoutBudget reports whether the budget was found exhausted, which is logged once.
+	withoutBudget bool
 }
 
 // attemptResult is the result of one attempt.
@@ -92,10 +94,11 @@
 // run makes attempts until one returns a response for the caller or no further attempt is
 // allowed.
 func (r *forwardState) run(ctx context.Context) (*serverReply, *refusal.Error) {
-	if !r.startAttempt(ctx) {
+	first := r.startAttempt(ctx)
+	if first == nil {
 		return nil, r.refuse(refusal.NoServer)
 	}
-	hedge := time.NewTimer(r.hedgeDelay())
+	hedge := time.NewTimer(r.hedgeDelay(first))
 	defer hedge.Stop()
 	for r.pending > 0 {
 		select {
@@ -108,8 +111,11 @@
 				r.startAttempt(ctx)
 			}
 		case <-hedge.C:
-			if r.allowHedge() {
+			switch r.allowHedge() {
+			case hedgeAllowed:
 				r.startAttempt(ctx)
+			case hedgeWithoutBudget:
+				hedge.Reset(hedgeRetryDelay)
 			}
 		case <-ctx.Done():
 			return r.end(r.timeoutKind(ctx))
@@ -146,16 +152,16 @@
 	return e
 }
 
-// startAttempt picks a server and sends the request to it in a new goroutine. It returns false
+// startAttempt picks a server and sends the request to it in a new goroutine. It returns nil
 // if no server can be picked.
-func (r *forwardState) startAttempt(ctx context.Context) bool {
+func (r *forwardState) startAttempt(ctx context.Context) *belief.Attempt {
 	e, k := r.edge, r.call
 	a := e.tracker.Pick(time.Now(), &belief.PickInfo{
 		Servers: e.watcher.Roster().ForService(k.service), Route: k.route.Name, TargetLatency: k.route.TargetLatency, Idempotent: k.route.Idempotent,
 		Last: r.reached+1 >= k.route.Attempts || e.budget.Balance(k.service) < 1, Tried: r.tried,
 	})
 	if a == nil {
-		return false
+		return nil
 	}
 	r.tried = append(r.tried, a.Server.Key())
 	if a.Floor {
@@ -167,7 +173,7 @@
 	child, cancel := context.WithCancel(ctx)
 	r.cancels[a] = cancel
 	go func() { r.results <- e.attempt(child, k, a) }()
-	return true
+	return a
 }
 
 // handleResult records the result of an attempt. It returns the response for the caller, or nil
@@ -255,6 +261,10 @@
 		r.recordFurtherAttempt(reason)
 		return true
 	}
+	if r.withoutBudget {
+		return false
+	}
+	r.withoutBudget = true
 	r.edge.count("noBudget")
 	r.edge.log.WithFields(logrus.Fields{
 		"request": r.call.id, "service": r.call.service, "reason": reason, "left": r.edge.budget.Balance(r.call.service),
@@ -270,22 +280,33 @@
 	}).Info(event.FurtherAttempt)
 }
 
-// hedgeDelay returns the delay after which a hedged attempt may be started. If the route is not
-// idempotent or its response times are not known yet, it is the timeout of the route, so that
-// no hedged attempt starts before the deadline.
-func (r *forwardState) hedgeDelay() time.Duration {
-	late, known := r.edge.tracker.LateThreshold(r.call.route.Name)
-	if !known || !r.call.route.Idempotent {
+// hedgeDelay returns the delay after which a hedged attempt may be started beside the first one.
+// If the route is not idempotent, it is the timeout of the route, so that no hedged attempt starts
+// before the deadline.
+func (r *forwardState) hedgeDelay(first *belief.Attempt) time.Duration {
+	if !r.call.route.Idempotent {
 		return r.call.route.Timeout
 	}
-	return max(minHedgeDelay, late)
+	return r.edge.tracker.HedgeDelay(first)
 }
 
-// allowHedge reports whether a hedged attempt is started beside the single attempt in flight.
-// It takes a token from the budget if so.
-func (r *forwardState) allowHedge() bool {
-	if !r.call.route.Idempotent || r.pending != 1 || r.reached+r.pending >= r.call.route.Attempts {
-		return false
+// hedgeDecision says whether a hedged attempt is started.
+type hedgeDecision string
+
+const (
+	hedgeAllowed       hedgeDecision = "allowed"
+	hedgeWithoutBudget hedgeDecision = "withoutBudget"
+	hedgeDenied        hedgeDecision = "denied"
+)
+
+// allowHedge decides whether a hedged attempt is started beside the single attempt in flight. It
+// takes a token from the budget if so.
+func (r *forwardState) allowHedge() hedgeDecision {
+	if !r.call.route.Idempotent || r.pending != 1 || r.reached+r.pending >= r.call.route.Attempts || !r.hasTimeForAttempt() {
+		return hedgeDenied
+	}
+	if !r.takeBudget("late") {
+		return hedgeWithoutBudget
 	}
-	return r.takeBudget("late")
+	return hedgeAllowed
 }
