Response times are kept without the wait at crowded servers

Cause: under load the distribution of a route grew with the queues, and the time of an attempt was divided by the crowding as well, so that hangs were seen late.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -267,10 +267,12 @@
 	}
 }
 
-// recordLatency adds the response time of a Good outcome to the quantiles of the route
-// and, once these are warm, to the slowness of the server.
+// recordLatency adds the response time of a Good outcome, without the time for which it waited at a
+// crowded server, to the quantiles of the route and, once these are warm, to the slowness of the
+// server.
 func (t *Tracker) recordLatency(s *state, a *Attempt, took time.Duration) {
 	q := t.latenciesOf(a.route).quantiles
+	took = time.Duration(float64(took) / a.crowding)
 	if q.Warm() {
 		ratio := math.Log(float64(took) / float64(q.Median()))
 		s.slowness += (ratio - s.slowness) * slownessWeight
--- a/core/belief/hedge.go
+++ b/core/belief/hedge.go
@@ -30,7 +30,7 @@
 	defer t.mu.Unlock()
 	median, deviation := t.latenciesOf(a.route).distribution(a.target)
 	at := func(deviations float64) time.Duration {
-		return time.Duration(float64(median) * math.Exp(deviations*deviation))
+		return time.Duration(a.crowding * float64(median) * math.Exp(deviations*deviation))
 	}
 	delay := a.target - time.Duration(hedgeReserve*float64(median))
 	delay = min(max(delay, at(earliestHedgeDeviations)), at(latestHedgeDeviations))
