Large answers reach callers whole; bytes without end and answers without an id are no answers

edge copied only the buffered part of a response: each response of more than 256 KB reached its caller as a 200 with an empty body (TestLargeResponsesArriveWhole failed with 0 of 1,048,576 bytes), and one that broke off after that looked complete (TestTruncatedLargeResponseIsNotComplete failed). Now the body is streamed; the attempt and its evidence end with the body, and a body that breaks off breaks the caller's connection.

The body of a skipped response to another request is read up to 256 KB. A response without a request id is attributed to no request, whatever its status (it was a failure of the server before). TestEndlessResponsesAreClosed: bytes without end in a head or a body end with the deadline; it passed before as well.

--- a/core/belief/hedge.go
+++ b/core/belief/hedge.go
@@ -8,7 +8,7 @@
 // The parameters of the time at which a second attempt is started beside the first one.
 const (
 	// the logarithm of the response times: 15% and 5% of responses take longer.
-	latestHedgeDeviations   = 1.645
+	latestHedgeDeviations = 1.645
 	// in median response times.
 	// hedgeHangProbability is the probability that the first attempt is never answered from which
 	// the second one starts regardless of the bounds.
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -85,6 +85,17 @@
 	a.afterEnd = append(a.afterEnd, f)
 }
 
+// CopyTo copies the answer to the response for a caller. The body of a streamed answer is read when
+// the response is written, so that one which breaks off is never completed.
+func (a *Answer) CopyTo(dst *fasthttp.Response) {
+	if !a.Streamed {
+		a.Response.CopyTo(dst)
+		return
+	}
+	a.Response.Header.CopyTo(&dst.Header)
+	dst.SetBodyStream(a.Response.BodyStream(), a.Response.Header.ContentLength())
+}
+
 // Discard closes the stream of an answer that is not needed.
 func (a *Answer) Discard() {
 	if a.Streamed {
@@ -290,12 +301,17 @@
 // requests.
 var errMismatched = errors.New("backend: received only responses to other requests")
 
-// skipBody reads and discards the body of a response, and resets the response.
+// skipBody reads and discards the body of a response, and resets the response. A body of more than
+// maxBufferedBody bytes, which may have no end, is an error.
 func skipBody(resp *fasthttp.Response) error {
 	if body := resp.BodyStream(); body != nil {
-		if _, err := io.Copy(io.Discard, body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBody+1))
+		if err != nil {
 			return fmt.Errorf("backend: skipped response: %w", err)
 		}
+		if n > maxBufferedBody {
+			return errMismatched
+		}
 		if err := resp.CloseBodyStream(); err != nil {
 			return fmt.Errorf("backend: skipped response: %w", err)
 		}
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -37,17 +37,33 @@
 	})
 	took := time.Since(start)
 	outcome := outcomeOf(answer, exchangeOutcome, k.id)
-	e.tracker.End(time.Now(), a, outcome, took)
+	e.recordEnd(a, answer, outcome, took)
 	e.recordAttempt(k, a, outcome, took, err)
 	if outcome == belief.Broken {
 		e.tasks.Go(func() { e.checkCrash(k, a) })
 	}
-	if outcome != belief.Good && outcome != belief.Failed {
+	if answer != nil && outcome != belief.Good && outcome != belief.Failed {
+		answer.Discard()
 		answer = nil
 	}
 	return attemptResult{a, outcome, answer, err}
 }
 
+// recordEnd records the outcome of an attempt as evidence about the server. That of a streamed answer
+// is known when its body ends.
+func (e *Edge) recordEnd(a *belief.Attempt, answer *backend.Answer, o belief.Outcome, took time.Duration) {
+	if answer == nil || !answer.Streamed {
+		e.tracker.End(time.Now(), a, o, took)
+		return
+	}
+	answer.OnEnd(func(end shard.Outcome) {
+		if end == shard.Broken {
+			o = belief.Broken
+		}
+		e.tracker.End(time.Now(), a, o, took)
+	})
+}
+
 // recordAttempt counts the outcome of an attempt, and logs the attempt unless the outcome is
 // Good.
 func (e *Edge) recordAttempt(k *call, a *belief.Attempt, o belief.Outcome, took time.Duration, err error) {
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -31,20 +31,21 @@
 		exchange shard.Outcome
 		want     belief.Outcome
 	}{
-		"success":                           {answer(200, signed...), shard.Good, belief.Good},
-		"client error":                      {answer(404, signed...), shard.Good, belief.Good},
-		"server error":                      {answer(500, signed...), shard.ServerError, belief.Failed},
-		"no signature":                      {answer(200, platform.HeaderRequestID, "id"), shard.Good, belief.Broken},
-		"answer to another request":         {answer(200, platform.HeaderRequestID, "other", platform.HeaderSignature, "s"), shard.Good, belief.Broken},
-		"overloaded":                        {answer(503, platform.HeaderNotExecuted, "1"), shard.ServerError, belief.Shed},
-		"overloaded without not-run header": {answer(503), shard.ServerError, belief.Failed},
-		"misdirected":                       {answer(421, platform.HeaderNotExecuted, "1"), shard.Good, belief.Misdirected},
-		"dial failed":                       {nil, shard.DialFailed, belief.Unreachable},
-		"connection broken":                 {nil, shard.Broken, belief.Broken},
-		"stale connection":                  {nil, shard.StaleConnection, belief.Broken},
-		"no answer":                         {nil, shard.NoAnswer, belief.Silent},
-		"silent connection":                 {nil, shard.SilentConnection, belief.Silent},
-		"cancelled":                         {nil, shard.Cancelled, belief.Neutral},
+		"success":                            {answer(200, signed...), shard.Good, belief.Good},
+		"client error":                       {answer(404, signed...), shard.Good, belief.Good},
+		"server error":                       {answer(500, signed...), shard.ServerError, belief.Failed},
+		"no signature":                       {answer(200, platform.HeaderRequestID, "id"), shard.Good, belief.Broken},
+		"answer to another request":          {answer(200, platform.HeaderRequestID, "other", platform.HeaderSignature, "s"), shard.Good, belief.Broken},
+		"overloaded":                         {answer(503, platform.HeaderNotExecuted, "1"), shard.ServerError, belief.Shed},
+		"overloaded without not-run header":  {answer(503, platform.HeaderRequestID, "id"), shard.ServerError, belief.Failed},
+		"server error to an unknown request": {answer(500), shard.ServerError, belief.Broken},
+		"misdirected":                        {answer(421, platform.HeaderNotExecuted, "1"), shard.Good, belief.Misdirected},
+		"dial failed":                        {nil, shard.DialFailed, belief.Unreachable},
+		"connection broken":                  {nil, shard.Broken, belief.Broken},
+		"stale connection":                   {nil, shard.StaleConnection, belief.Broken},
+		"no answer":                          {nil, shard.NoAnswer, belief.Silent},
+		"silent connection":                  {nil, shard.SilentConnection, belief.Silent},
+		"cancelled":                          {nil, shard.Cancelled, belief.Neutral},
 	} {
 		if diff := cmp.Diff(test.want, outcomeOf(test.answer, test.exchange, "id")); diff != "" {
 			t.Errorf("%s: outcomeOf mismatch (-want +got):\n%s", name, diff)
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -18,8 +18,10 @@
 
 // serverReply is the response of a server to the caller.
 type serverReply struct {
-	response *fasthttp.Response
-	server   ident.ServerID
+	answer *backend.Answer
+	// attempt is the attempt that brought the answer.
+	attempt *belief.Attempt
+	server  ident.ServerID
 	// attempts is the number of attempts that reached a server.
 	attempts int
 	// risk is the probability that the server was sick, and evidenceAge the age of the newest
@@ -82,13 +84,35 @@
 	}
 	reply, refused := r.run(ctx)
 	if !r.usedFloor && (refused == nil || refused.Kind != refusal.CallerDisconnected) {
-		served := refused == nil && reply.response.StatusCode() < fasthttp.StatusInternalServerError
+		served := refused == nil && reply.answer.Response.StatusCode() < fasthttp.StatusInternalServerError
 		e.tracker.RecordRequest(time.Now(), k.service, served)
 	}
-	for _, cancel := range r.cancels {
+	r.release(reply)
+	return reply, refused
+}
+
+// release ends all attempts but that of the reply, which ends with the answer's body.
+func (r *forwardState) release(reply *serverReply) {
+	for a, cancel := range r.cancels {
+		if reply != nil && reply.attempt == a {
+			reply.answer.AfterEnd(cancel)
+			continue
+		}
 		cancel()
 	}
-	return reply, refused
+	if r.errorReply != nil && r.errorReply != reply {
+		r.errorReply.answer.Discard()
+	}
+	for {
+		select {
+		case result := <-r.results:
+			if result.answer != nil {
+				result.answer.Discard()
+			}
+		default:
+			return
+		}
+	}
 }
 
 // run makes attempts until one returns a response for the caller or no further attempt is
@@ -184,13 +208,16 @@
 		return nil
 	}
 	reply := &serverReply{
-		response: result.answer.Response, server: result.attempt.Server.ID, attempts: r.reached,
+		answer: result.answer, attempt: result.attempt, server: result.attempt.Server.ID, attempts: r.reached,
 		risk: result.attempt.Risk, evidenceAge: result.attempt.EvidenceAge,
 	}
 	switch result.outcome {
 	case belief.Good:
 		return reply
 	case belief.Failed:
+		if r.errorReply != nil {
+			r.errorReply.answer.Discard()
+		}
 		r.errorReply = reply
 	default:
 	}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -81,14 +81,15 @@
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), call.deadline)
-	defer cancel()
 	w := connwatch.New(c.Context().Conn(), cancel)
 	reply, refused := e.forward(ctx, call)
 	w.Stop()
 	if refused != nil {
+		cancel()
 		s.refuse(c, call, refused)
 		return nil
 	}
+	reply.answer.AfterEnd(cancel)
 	s.sendReply(c, call, reply)
 	return nil
 }
@@ -153,13 +154,13 @@
 	took := time.Since(k.received)
 	s.edge.observeLatency(k, "answered", took)
 	s.edge.log.WithFields(logrus.Fields{
-		"request": k.id, "route": k.route.Name, "service": k.service, "server": reply.server, "status": reply.response.StatusCode(),
+		"request": k.id, "route": k.route.Name, "service": k.service, "server": reply.server, "status": reply.answer.Response.StatusCode(),
 		"attempts": reply.attempts, "risk": reply.risk, "evidenceAgeMillis": reply.evidenceAge.Milliseconds(),
 		"version": k.version, "tookMillis": took.Milliseconds(),
 	}).Info(event.Answered)
 	dst := c.Response()
 	closing := dst.ConnectionClose()
-	reply.response.CopyTo(dst)
+	reply.answer.CopyTo(dst)
 	hopbyhop.RemoveHeaders(&dst.Header)
 	dst.Header.Del(fasthttp.HeaderTransferEncoding)
 	if closing {
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -177,15 +177,10 @@
 // to a single connection.
 func (f *Front) writeAnswer(c *fiber.Ctx, reply router.Reply) {
 	f.options.Count("answers")
-	src, dst := reply.Answer.Response, c.Response()
+	dst := c.Response()
 	closeConnection := dst.ConnectionClose()
 	owner := string(dst.Header.Peek(OwnerHeader))
-	if reply.Answer.Streamed {
-		src.Header.CopyTo(&dst.Header)
-		dst.SetBodyStream(src.BodyStream(), src.Header.ContentLength())
-	} else {
-		src.CopyTo(dst)
-	}
+	reply.Answer.CopyTo(dst)
 	hopbyhop.RemoveHeaders(&dst.Header)
 	if closeConnection {
 		dst.SetConnectionClose()
--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -168,7 +168,7 @@
 	f, servers := start(t, Options{})
 	faults := []gridserver.Fault{
 		gridserver.ResetBeforeRun, gridserver.ResetAfterRun, gridserver.Error, gridserver.Shed, gridserver.ExtraResponse,
-		gridserver.TruncatedBody, gridserver.UnframedBody, gridserver.Unsigned,
+		gridserver.TruncatedBody, gridserver.UnframedBody, gridserver.Unsigned, gridserver.EndlessHead, gridserver.EndlessBody,
 	}
 	for _, fault := range faults {
 		t.Run(string(fault), func(t *testing.T) {
@@ -201,6 +201,61 @@
 	}
 }
 
+// TestLargeResponsesArriveWhole checks that a response which is larger than the daemon's buffer reaches
+// the caller completely.
+func TestLargeResponsesArriveWhole(t *testing.T) {
+	f, servers := start(t, Options{})
+	for _, s := range servers {
+		s.SetFault(gridserver.LargeBody)
+	}
+	for range 5 {
+		if r := sendBooking(f.Daemons[0]); !r.valid() || len(r.Body) != 1<<20 {
+			t.Errorf("got status %d, %d bytes, error %v; want the whole body of %d bytes", r.Status, len(r.Body), r.Err, 1<<20)
+		}
+	}
+}
+
+// TestTruncatedLargeResponseIsNotComplete checks that a caller sees that a response broke off after
+// the daemon had passed on a part of it, and that the server's risk rises.
+func TestTruncatedLargeResponseIsNotComplete(t *testing.T) {
+	f, servers := start(t, Options{})
+	for _, s := range servers {
+		s.SetFault(gridserver.TruncatedLargeBody)
+	}
+	for range 5 {
+		if r := sendBooking(f.Daemons[0]); r.Err == nil && r.Status == 200 {
+			t.Errorf("a response of %d bytes that broke off looks complete", len(r.Body))
+		}
+	}
+	eventually(t, "a server counts as sick", func() bool {
+		for _, v := range f.Daemons[0].Edge.Beliefs() {
+			if v.Risk > 0.5 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// TestEndlessResponsesAreClosed checks that the daemon closes connections on which bytes come that are
+// no response and have no end.
+func TestEndlessResponsesAreClosed(t *testing.T) {
+	f, servers := start(t, Options{})
+	for _, fault := range []gridserver.Fault{gridserver.EndlessHead, gridserver.EndlessBody} {
+		for _, s := range servers {
+			s.SetFault(fault)
+		}
+		for range 4 {
+			if r := sendBooking(f.Daemons[0]); r.Err != nil || r.Status < 500 {
+				t.Errorf("%s: got status %d, error %v, want a refusal", fault, r.Status, r.Err)
+			}
+		}
+		for id, s := range servers {
+			eventually(t, "no endless response is being written by "+id, func() bool { return s.Endless() == 0 })
+		}
+	}
+}
+
 // checkResponse checks a response against the runs that the servers recorded.
 func checkResponse(t *testing.T, servers map[string]*gridserver.Server, r response) {
 	t.Helper()
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -39,6 +40,14 @@
 	// UnframedBody sends half of the body without a Content-Length, then resets the connection
 	// after faultDelay.
 	UnframedBody Fault = "unframed"
+	// LargeBody answers with a body of largeBodyBytes.
+	LargeBody Fault = "large"
+	// TruncatedLargeBody declares a body of largeBodyBytes, sends most of it and resets the connection.
+	TruncatedLargeBody Fault = "largeCut"
+	// EndlessHead and EndlessBody send bytes that are no response, in the headers or in a body
+	// without a length, until the client closes the connection.
+	EndlessHead Fault = "endlessHead"
+	EndlessBody Fault = "endlessBody"
 	// Unsigned responds with status 200 and no signature.
 	Unsigned Fault = "unsigned"
 	// Crash closes the listener and resets the connection when a request arrives.
@@ -52,6 +61,7 @@
 	fault       atomic.Pointer[Fault]
 	arrivals    atomic.Int64
 	inFlight    atomic.Int64
+	endless     atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -267,6 +277,19 @@
 		s.writeResponse(c, id, 500, "broken", signature)
 	case Unsigned:
 		s.writeResponse(c, id, 200, body, "")
+	case LargeBody:
+		s.writeResponse(c, id, 200, strings.Repeat("x", largeBodyBytes-len(body))+body, signature)
+	case TruncatedLargeBody:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+			id, signature, largeBodyBytes, strings.Repeat("x", largeBodyBytes*3/4))
+		resetConn(c)
+		return false
+	case EndlessHead:
+		s.writeEndlessly(c, "HTTP/1.1 200 OK\r\n", "X-Noise: noise\r\n")
+		return false
+	case EndlessBody:
+		s.writeEndlessly(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "noise")
+		return false
 	case TruncatedBody:
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 			id, signature, len(body), body[:len(body)/2])
@@ -287,6 +310,28 @@
 	return true
 }
 
+// largeBodyBytes is the size of the bodies of LargeBody and TruncatedLargeBody.
+const largeBodyBytes = 1 << 20
+
+// writeEndlessly writes the first text once and the second one until the client closes the
+// connection.
+func (s *Server) writeEndlessly(c net.Conn, first, again string) {
+	s.endless.Add(1)
+	defer s.endless.Add(-1)
+	if _, err := io.WriteString(c, first); err != nil {
+		return
+	}
+	block := strings.Repeat(again, 100)
+	for {
+		if _, err := io.WriteString(c, block); err != nil {
+			return
+		}
+	}
+}
+
+// Endless returns the number of endless responses that are being written.
+func (s *Server) Endless() int64 { return s.endless.Load() }
+
 // faultDelay is the delay before the second response of ExtraResponse and before the reset of
 // UnframedBody.
 const faultDelay = 20 * time.Millisecond
