--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -96,11 +96,15 @@
 	return out
 }
 
-// MergeLosses stores the loss rates that another daemon of the zone reports.
+// MergeLosses stores the loss rates that another daemon of the zone reports. It ignores impossible
+// numbers.
 func (t *Tracker) MergeLosses(now time.Time, from ident.VMID, reports []LossReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range reports {
+		if !(r.Lost >= 0 && r.Lost <= r.Total && r.Total <= math.MaxInt32) {
+			continue
+		}
 		l := t.lossRateOf(r.Service)
 		if l.remote == nil {
 			l.remote = map[ident.VMID]lossCount{}
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -139,6 +139,10 @@
 // handleMessage applies a message from another daemon.
 func (e *Edge) handleMessage(m *news.Message) {
 	now := time.Now()
+	if m.From.VM == "" || m.From.Zone == "" {
+		e.count("news.invalid")
+		return
+	}
 	if m.From.VM == e.settings.VM {
 		return
 	}
--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -12,9 +14,13 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 
+	"bilberrymux/core/belief"
 	"bilberrymux/core/ident"
+	"bilberrymux/core/zone"
+	"bilberrymux/io/news"
 	"bilberrymux/io/standin/gridserver"
 	"bilberrymux/io/standin/rowstore"
 )
@@ -549,3 +555,53 @@
 	}
 	_ = s
 }
+
+// TestMalformedDatagramsAreIgnored sends a daemon datagrams with damaged and absurd content. It must go
+// on to serve, to hear its peers, and to list the same servers.
+func TestMalformedDatagramsAreIgnored(t *testing.T) {
+	f, _ := start(t, Options{})
+	d := f.Daemons[0]
+	c, err := net.Dial("udp", net.JoinHostPort(d.Settings.IP, fmt.Sprint(portPeers)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	nan := float32(math.NaN())
+	absurd := []news.Message{
+		{},
+		{From: zone.Member{VM: "x"}, Version: math.MaxUint64, Revision: math.MaxUint64, Relay: true, Hello: true},
+		{
+			From:    zone.Member{VM: "x", Zone: "north", PeerAddress: "nowhere", Capacity: math.NaN(), Ready: true},
+			Losses:  []belief.LossReport{{Service: "booker", Lost: nan, Total: nan}, {Service: "booker", Lost: 9, Total: -1}},
+			Reports: []belief.Report{{ID: "booker-1", StartMillis: -1, Risk: 255, AgeMillis: 0, Active: 255}, {}},
+			Changes: &news.Changes{BaseRevision: math.MaxUint64, Revision: 1, Servers: map[string][]byte{"": nil, "z": {0xff}}, Removed: []string{"booker-1", ""}},
+		},
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, m := range absurd {
+		body, err := cbor.Marshal(&m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 300 {
+			if _, err := c.Write(body); err != nil {
+				t.Fatal(err)
+			}
+			body[random.IntN(len(body))] = byte(random.Uint32())
+		}
+	}
+	before := len(d.Edge.Servers())
+	for range 20 {
+		if r := sendBooking(d); !r.valid() {
+			t.Errorf("after malformed datagrams: got %+v, want a valid response", r)
+		}
+	}
+	s, err := f.AddServer("booker-9", "booker", 0, time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Stop()
+	for _, d := range f.Daemons {
+		eventually(t, "the daemon lists the new server", func() bool { return len(d.Edge.Servers()) == before+1 })
+	}
+}
