--- a/cmd/bilberrymux/edge_test.go
+++ b/cmd/bilberrymux/edge_test.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bilberrymux/io/explain"
 )
 
 const edgeSettings = `{"vm":"a-1","zone":"a","region":"north","zones":{"a":"north"},"ip":"127.0.0.1",
@@ -78,3 +83,36 @@
 		t.Errorf("unknown request: exit code %d, want %d", code, exitFailed)
 	}
 }
+
+// TestLossesCountsCauses checks the table of the losses command on a served request, two that hung at a
+// server of the floor and at a sound one, and one that was shed when the budget was exhausted.
+func TestLossesCountsCauses(t *testing.T) {
+	file := writeFile(t, "log", `{"msg":"answered","request":"r1","route":"a","status":200}
+{"msg":"attempt failed","request":"r2","outcome":"neutral","floor":true,"risk":0.2}
+{"msg":"refused","request":"r2","route":"a","kind":"callerGone"}
+{"msg":"attempt failed","request":"r3","outcome":"failed","risk":0.01}
+{"msg":"answered","request":"r3","route":"a","status":504}
+{"msg":"attempt failed","request":"r4","outcome":"shed","risk":0.01}
+{"msg":"no budget for a further attempt","request":"r4"}
+{"msg":"refused","request":"r4","route":"a","kind":"serversShed"}
+`)
+	text, code := runCommand(t, "losses", "--json", file)
+	if code != exitOK {
+		t.Fatalf("losses: exit code %d, want %d: %s", code, exitOK, text)
+	}
+	var got []explain.LossRow
+	if err := json.Unmarshal([]byte(text), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := []explain.LossRow{
+		{Route: "a", Cause: explain.LostToHang, Knowledge: explain.BelievedSound, Count: 1, Requests: 4},
+		{Route: "a", Cause: explain.LostToHang, Knowledge: explain.PickedForFloor, Count: 1, Requests: 4},
+		{Route: "a", Cause: explain.LostToShed, Knowledge: explain.BelievedSound, WithoutBudget: true, Count: 1, Requests: 4},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("losses (-want +got):\n%s", diff)
+	}
+	if _, code := runCommand(t, "losses", "--rows", "0", file); code != exitUsage {
+		t.Errorf("losses --rows 0: exit code %d, want %d", code, exitUsage)
+	}
+}
--- a/cmd/bilberrymux/explain.go
+++ b/cmd/bilberrymux/explain.go
@@ -24,18 +24,9 @@
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
-	var lines []explain.Line
-	for _, name := range c.Args.Files {
-		f, err := os.Open(name)
-		if err != nil {
-			return &exitError{exitUsage, err}
-		}
-		read, err := explain.Read(f)
-		f.Close()
-		if err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(c.Args.Files)
+	if err != nil {
+		return err
 	}
 	explanation, err := explain.Request(c.Request, lines)
 	if err != nil {
@@ -51,3 +42,21 @@
 	fmt.Println(string(body))
 	return nil
 }
+
+// readLogs reads the lines of log files.
+func readLogs(files []string) ([]explain.Line, error) {
+	var lines []explain.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, &exitError{exitUsage, err}
+		}
+		read, err := explain.Read(f)
+		f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
--- a/cmd/bilberrymux/main.go
+++ b/cmd/bilberrymux/main.go
@@ -48,6 +48,7 @@
 		{"serve", "Run the daemon", serveHelp, &serveCommand{}},
 		{"edge", "Run the daemon on the users' platform", edgeHelp, &edgeCommand{}},
 		{"explain", "Tell what happened to one request, from log files", explainHelp, &explainCommand{}},
+		{"losses", "Count lost requests by cause, from log files", lossesHelp, &lossesCommand{}},
 		{"check", "Check a settings or configuration file", checkHelp, &checkCommand{}},
 		{"locate", "Ask a daemon where callers should connect", locateHelp, &locateCommand{}},
 		{"show", "Show the state of a daemon", showHelp, &showCommand{}},
--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -30,6 +30,7 @@
 	Error             string    `json:"error,omitempty"`
 	Change            string    `json:"change,omitempty"`
 	Risk              float64   `json:"risk,omitempty"`
+	Floor             bool      `json:"floor,omitempty"`
 	EvidenceAgeMillis int64     `json:"evidenceAgeMillis,omitempty"`
 	TookMillis        int64     `json:"tookMillis,omitempty"`
 	Status            int       `json:"status,omitempty"`
