Owners of a host are its strong daemons, where a zone's VMs are unequal

Callers choose evenly among the seven owners of a host, so a weak VM got as much as a strong one, and its link was full of uploads: 5,976 of 6,200 failed dials were timeouts at weak VMs, bookings took 579 ms there and 241 ms at strong ones, 2,331 requests took more than half of their target to reach a server, and the zone took weak VMs for dead 409 times.

Change: zone.Owners takes as many of the strongest candidates as make the greatest share in proportion to capacity least (zones of equal VMs as before). A daemon that owns no host gets no part of the budget's reserve, the owners share it.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -85,8 +87,12 @@
 	Limits   Limits
 	// byHost holds the routes by host, then by prefix.
 	byHost map[string]map[string]*Route
+	hosts  []string
 }
 
+// Hosts returns the hosts of all routes, sorted. The caller must not modify the slice.
+func (c *Catalog) Hosts() []string { return c.hosts }
+
 // New validates the routes of a version and indexes them by host and prefix. The error
 // names the first invalid route.
 func New(version ident.Version, routes []*Route, services []Service, limits Limits) (*Catalog, error) {
@@ -106,6 +112,7 @@
 			return nil, fmt.Errorf("catalog: route %q: %w", r.Name, err)
 		}
 	}
+	c.hosts = slices.Sorted(maps.Keys(c.byHost))
 	return c, nil
 }
 
--- a/core/zone/zone.go
+++ b/core/zone/zone.go
@@ -193,7 +193,11 @@
 // itself, that callers of a key should use, the preferred one first. Daemons with the same
 // view of the zone compute the same owners. If no daemon is ready, Owners returns only this
 // daemon.
-func (t *Table) Owners(key string, n int) []Member {
+//
+// Each owner gets the same share of the callers, whatever its capacity. Owners answers zones of
+// unequal VMs: it returns fewer daemons, but at least atLeast, where further ones would get a share
+// that is greater in proportion to their capacity.
+func (t *Table) Owners(key string, n, atLeast int) []Member {
 	self := t.Self()
 	candidates := slices.DeleteFunc(append(t.Live(), self), func(m Member) bool { return !m.Ready })
 	if len(candidates) == 0 {
@@ -202,7 +206,23 @@
 	slices.SortFunc(candidates, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.capacityScore(key), a.capacityScore(key)), cmp.Compare(a.VM, b.VM))
 	})
-	return candidates[:min(n, len(candidates))]
+	candidates = candidates[:min(n, len(candidates))]
+	slices.SortStableFunc(candidates, func(a, b Member) int { return cmp.Compare(b.Capacity, a.Capacity) })
+	return candidates[:leastLoadedCount(candidates, atLeast)]
+}
+
+// leastLoadedCount returns how many of the members, in descending order of capacity and at least
+// atLeast, should share a load evenly so that the load of the weakest one, in proportion to its
+// capacity, is least.
+func leastLoadedCount(members []Member, atLeast int) int {
+	best, least := len(members), math.Inf(1)
+	for i, m := range members {
+		load := 1 / (float64(i+1) * max(m.Capacity, minCapacity))
+		if i+1 >= min(atLeast, len(members)) && load <= least {
+			best, least = i+1, load
+		}
+	}
+	return best
 }
 
 // capacityScore is the score of weighted rendezvous hashing (Schindelhauer and Schomaker
--- a/core/zone/zone_test.go
+++ b/core/zone/zone_test.go
@@ -105,11 +105,11 @@
 	movedUnnecessarily, ownedByLost := 0, 0
 	for host := range 200 {
 		key := fmt.Sprint("host", host)
-		want := vmIDs(view(0, -1).Owners(key, 2))
-		if diff := cmp.Diff(want, vmIDs(view(7, -1).Owners(key, 2))); diff != "" {
+		want := vmIDs(view(0, -1).Owners(key, 2, 2))
+		if diff := cmp.Diff(want, vmIDs(view(7, -1).Owners(key, 2, 2))); diff != "" {
 			t.Fatalf("owners computed by another daemon (-want +got):\n%s", diff)
 		}
-		after := vmIDs(view(0, 5).Owners(key, 2))
+		after := vmIDs(view(0, 5).Owners(key, 2, 2))
 		if want[0] == "a5" || want[1] == "a5" {
 			ownedByLost++
 		} else if !cmp.Equal(want, after) {
@@ -130,7 +130,7 @@
 	table.RecordMessage(now, larger)
 	first := 0
 	for host := range 2000 {
-		if table.Owners(fmt.Sprint(host), 1)[0].VM == "a2" {
+		if table.Owners(fmt.Sprint(host), 1, 1)[0].VM == "a2" {
 			first++
 		}
 	}
@@ -171,11 +171,11 @@
 	self := member("a", "1", 1)
 	self.Ready = false
 	table := New(self)
-	if diff := cmp.Diff([]ident.VMID{"a1"}, vmIDs(table.Owners("h", 2))); diff != "" {
+	if diff := cmp.Diff([]ident.VMID{"a1"}, vmIDs(table.Owners("h", 2, 2))); diff != "" {
 		t.Errorf("owners without a ready daemon (-want +got):\n%s", diff)
 	}
 	table.RecordMessage(time.Unix(1, 0), member("a", "2", 1))
-	if diff := cmp.Diff([]ident.VMID{"a2"}, vmIDs(table.Owners("h", 2))); diff != "" {
+	if diff := cmp.Diff([]ident.VMID{"a2"}, vmIDs(table.Owners("h", 2, 2))); diff != "" {
 		t.Errorf("owners with one ready daemon (-want +got):\n%s", diff)
 	}
 }
@@ -194,3 +194,43 @@
 		t.Errorf("gateways per zone (-want +got):\n%s", diff)
 	}
 }
+
+// TestWeakDaemonsGetNoCallersBesideStrongOnes checks that a host has only its strong daemons as owners
+// while these are enough, since each owner gets the same share of the callers. Without a second strong
+// daemon a share is smaller the more daemons are owners.
+func TestWeakDaemonsGetNoCallersBesideStrongOnes(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := New(Member{VM: "s1", Zone: "a", Capacity: 0.8, Ready: true})
+	table.RecordMessage(now, Member{VM: "s2", Incarnation: "1", Zone: "a", Capacity: 0.8, Ready: true})
+	for i := range 20 {
+		table.RecordMessage(now, Member{VM: ident.VMID(fmt.Sprint("w", i)), Incarnation: "1", Zone: "a", Capacity: 0.04, Ready: true})
+	}
+	load := func(owners []Member) float64 {
+		greatest := 0.0
+		for _, m := range owners {
+			greatest = max(greatest, 1/float64(len(owners))/m.Capacity)
+		}
+		return greatest
+	}
+	for host := range 50 {
+		owners := table.Owners(fmt.Sprint(host), 7, 2)
+		if len(owners) < 2 || load(owners) > 1/(7*0.04) {
+			t.Errorf("host %d: got owners %v with load %.2f, want at most that of seven weak daemons", host, vmIDs(owners), load(owners))
+		}
+		if owners[0].Capacity == 0.8 && owners[1].Capacity == 0.8 && len(owners) > 2 {
+			t.Errorf("host %d: got owners %v, want only the strong daemons", host, vmIDs(owners))
+		}
+	}
+	if diff := cmp.Diff(7, len(view20(now).Owners("h", 7, 2))); diff != "" {
+		t.Errorf("equal daemons (-want +got):\n%s", diff)
+	}
+}
+
+// view20 returns the table of a zone of 20 equal daemons.
+func view20(now time.Time) *Table {
+	table := New(Member{VM: "d0", Zone: "a", Capacity: 0.3, Ready: true})
+	for i := 1; i < 20; i++ {
+		table.RecordMessage(now, Member{VM: ident.VMID(fmt.Sprint("d", i)), Incarnation: "1", Zone: "a", Capacity: 0.3, Ready: true})
+	}
+	return table
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -78,6 +79,9 @@
 		previous, newest uint64
 		changedAt        time.Time
 	}
+	// ownersCheckedAt is the time of the last adaptation of the budget to the owners of the hosts.
+	// Only the gossip goroutine uses it.
+	ownersCheckedAt time.Time
 	// fetching reports whether a fetch of state from a peer is in progress.
 	fetching atomic.Bool
 	stopping atomic.Bool
@@ -236,9 +240,12 @@
 )
 
 // budgetOptions returns this daemon's part of the budget. The reserve is divided evenly among
-// the owners of a host, whose number in each zone is given.
+// the owners of a host, whose number in each zone is given; 0 means that this daemon owns none.
 func budgetOptions(s *settings.Edge, owners int) budget.Options {
-	reserve := s.Bounds.ExtraAttemptReserve / float64(owners*len(s.Zones))
+	reserve := 0.0
+	if owners > 0 {
+		reserve = s.Bounds.ExtraAttemptReserve / float64(owners*len(s.Zones))
+	}
 	o := budget.Options{
 		Ratio:     s.Bounds.ExtraAttemptRatio * ratioShare,
 		PerSecond: rateShare * reserve / float64(s.Bounds.ExtraAttemptWindow),
@@ -254,6 +261,30 @@
 // start of the whole system, before any request has added tokens to the budget.
 const bootstrapTokens = 2
 
+// ownerCheckPeriod is the time between two computations of ownedHostOwners.
+const ownerCheckPeriod = time.Second
+
+// maxCheckedHosts bounds the number of hosts that ownedHostOwners looks at.
+const maxCheckedHosts = 64
+
+// ownedHostOwners returns the least number of owners of a host that this daemon owns, or 0 if it owns
+// none of the hosts of the configuration. Without a configuration it returns minOwners.
+func (e *Edge) ownedHostOwners() int {
+	hosts := e.watcher.Catalog().Hosts()
+	if len(hosts) == 0 {
+		return minOwners
+	}
+	self, least := e.members.Self().VM, 0
+	for _, host := range hosts[:min(len(hosts), maxCheckedHosts)] {
+		owners := e.members.Owners(host, e.ownerCount(), minOwners)
+		owned := slices.ContainsFunc(owners, func(m zone.Member) bool { return m.VM == self })
+		if owned && (least == 0 || len(owners) < least) {
+			least = len(owners)
+		}
+	}
+	return least
+}
+
 // ownerCount returns the number of daemons of this zone to which the callers of one host are
 // directed.
 func (e *Edge) ownerCount() int {
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -75,7 +75,10 @@
 	m.Losses = e.tracker.LossReports(now)
 	m.Changes = e.watcher.Changes(e.changesBase(now, m.Revision))
 	e.transport.Send(m, addresses(e.members.Peers()))
-	e.budget.SetOptions(budgetOptions(e.settings, e.ownerCount()))
+	if now.Sub(e.ownersCheckedAt) >= ownerCheckPeriod {
+		e.ownersCheckedAt = now
+		e.budget.SetOptions(budgetOptions(e.settings, e.ownedHostOwners()))
+	}
 }
 
 // changesBase returns the revision after which changes of the server list are sent, given the
--- a/io/edge/listen.go
+++ b/io/edge/listen.go
@@ -83,7 +83,7 @@
 	s.edge.count("locates")
 	query := platform.ParseLocate(c.Context().QueryArgs())
 	var addresses []string
-	for _, m := range s.edge.members.Owners(query.Host, s.edge.ownerCount()) {
+	for _, m := range s.edge.members.Owners(query.Host, s.edge.ownerCount(), minOwners) {
 		addresses = append(addresses, m.CallerAddress)
 	}
 	body, err := platform.FormatLocate(addresses, min(locateLifetime, s.edge.settings.Bounds.LocateLifetime.Duration()))
