--- a/core/belief/waiting.go
+++ b/core/belief/waiting.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"bilberrymux/core/detect"
 )
 
 // The model of attempts without a response. An attempt that waits for longer than the route's
@@ -12,88 +10,16 @@
 const (
 	// sickHangShare is the share of requests that a sick server never answers.
 	sickHangShare = 0.75
-	// overdueSurvival is the share of a route's responses that take longer than the time from
-	// which an attempt is overdue.
-	overdueSurvival = 0.02
-	// initialHangShare is the assumed share of a route's requests that sound servers don't answer
-	// in time, and initialHangSamples the number of attempts whose weight it has.
-	initialHangShare   = 0.01
-	initialHangSamples = 30
-	// maxHangSamples bounds the weight of past attempts in a route's share.
-	maxHangSamples = 200
 	// minWaitingRatio is the likelihood ratio from which an attempt that ended without a response
 	// counts as evidence.
 	minWaitingRatio = 1.5
-	// unknownUsualShare and unknownHighShare are the shares of a route's target latency that stand
-	// in for the median and the late quantile of its response times while these are not known.
-	unknownUsualShare = 0.25
-	unknownHighShare  = 0.65
-	// lateDeviations is the distance of lateQuantile from the median in standard deviations of a
-	// normal distribution, and overdueDeviations that of 1 - overdueSurvival.
-	lateDeviations    = 1.645
+	// overdueDeviations is the age from which an attempt is overdue, in standard deviations of the
+	// logarithm of the response times: 2% of responses take longer.
 	overdueDeviations = 2.054
-	// minLogDeviation bounds the standard deviation of the logarithm of response times from below.
-	minLogDeviation = 0.1
+	// minOverdueAge is the age below which no attempt is overdue.
+	minOverdueAge = 100 * time.Millisecond
 )
 
-// latencies describes the response times of one route.
-type latencies struct {
-	quantiles *detect.Quantiles
-	// hangs is the number of attempts at sound servers that got no response in time, out of
-	// attempts. Both are decayed counts.
-	hangs, attempts float64
-}
-
-// latenciesOf returns the response times of a route and creates them if there are none.
-func (t *Tracker) latenciesOf(route string) *latencies {
-	l := t.latencies[route]
-	if l == nil {
-		l = &latencies{
-			quantiles: detect.NewQuantiles(lateQuantile),
-			hangs:     initialHangShare * initialHangSamples, attempts: initialHangSamples,
-		}
-		t.latencies[route] = l
-	}
-	return l
-}
-
-// recordEnd records whether an attempt at a server that was sound with the given probability
-// got a response before it was overdue.
-func (l *latencies) recordEnd(overdue bool, sound float64) {
-	if l.attempts >= maxHangSamples {
-		l.hangs *= 1 - 1/l.attempts
-		l.attempts--
-	}
-	l.attempts++
-	if overdue {
-		l.hangs += sound
-	}
-}
-
-// distribution returns the median of the response times and the standard deviation of their
-// logarithm, which is assumed to be normally distributed. While there are too few samples, both
-// are estimated from the target latency.
-func (l *latencies) distribution(target time.Duration) (median time.Duration, logDeviation float64) {
-	median, high := time.Duration(unknownUsualShare*float64(target)), time.Duration(unknownHighShare*float64(target))
-	if l.quantiles.Warm() {
-		median, high = l.quantiles.Median(), l.quantiles.High()
-	}
-	if median <= 0 {
-		return time.Second, minLogDeviation
-	}
-	return median, max(minLogDeviation, math.Log(float64(high)/float64(median))/lateDeviations)
-}
-
-// survival returns the share of responses of sound servers, from 0 to 1, that take longer than
-// the given time.
-func (l *latencies) survival(target, age time.Duration) float64 {
-	if age <= 0 {
-		return 1
-	}
-	median, deviation := l.distribution(target)
-	return 0.5 * math.Erfc(math.Log(float64(age)/float64(median))/deviation/math.Sqrt2)
-}
-
 // waitingRatio returns how much likelier it is at a sick than at a sound server that an attempt
 // has waited for the given time.
 func (t *Tracker) waitingRatio(a *Attempt, age time.Duration) float64 {
@@ -111,9 +37,6 @@
 	return max(minOverdueAge, time.Duration(a.crowding*math.Exp(overdueDeviations*deviation)*float64(median)))
 }
 
-// minOverdueAge is the age below which no attempt is overdue.
-const minOverdueAge = 100 * time.Millisecond
-
 // Overdue records that an attempt got no response in the time of OverdueAfter. A later Good outcome
 // of the attempt takes the evidence back.
 func (t *Tracker) Overdue(now time.Time, a *Attempt) {
