--- a/core/belief/latencies.go
+++ b/core/belief/latencies.go
@@ -22,6 +22,12 @@
 	// in time, and initialHangSamples the number of attempts whose weight it has.
 	initialHangShare   = 0.01
 	initialHangSamples = 30
+	// initialSilentShare is the assumed share of faults in which a server gives no response,
+	// initialSilentSamples the number of faults whose weight it has, and maxSilentSamples bounds the
+	// weight of past faults.
+	initialSilentShare   = 0.5
+	initialSilentSamples = 6
+	maxSilentSamples     = 60
 	// maxHangSamples bounds the weight of past attempts in a route's share.
 	maxHangSamples = 200
 )
@@ -32,6 +38,9 @@
 	// hangs is the number of attempts at sound servers that got no response in time, out of
 	// attempts. Both are decayed counts.
 	hangs, attempts float64
+	// silentFaults is the number of attempts that servers left without a response, out of faults, which
+	// include errors and broken exchanges. Both are decayed counts.
+	silentFaults, faults float64
 }
 
 // latenciesOf returns the response times of a route and creates them if there are none.
@@ -41,6 +50,7 @@
 		l = &latencies{
 			quantiles: detect.NewQuantiles(lateQuantile),
 			hangs:     initialHangShare * initialHangSamples, attempts: initialHangSamples,
+			silentFaults: initialSilentShare * initialSilentSamples, faults: initialSilentSamples,
 		}
 		t.latencies[route] = l
 	}
@@ -60,6 +70,24 @@
 	}
 }
 
+// recordFault records an attempt without a good response, and whether it was silent: it waited
+// until it was overdue.
+func (l *latencies) recordFault(silent bool) {
+	if l.faults >= maxSilentSamples {
+		l.silentFaults *= 1 - 1/l.faults
+		l.faults--
+	}
+	l.faults++
+	if silent {
+		l.silentFaults++
+	}
+}
+
+// silentShare returns the share of faults in which a server gives no response.
+func (l *latencies) silentShare() float64 {
+	return l.silentFaults / l.faults
+}
+
 // distribution returns the median of the response times and the standard deviation of their
 // logarithm, which is assumed to be normally distributed. While there are too few samples, both
 // are estimated from the target latency.
--- a/core/belief/waiting.go
+++ b/core/belief/waiting.go
@@ -8,8 +8,8 @@
 // The model of attempts without a response. An attempt that waits for longer than the route's
 // responses usually take is evidence that its server is sick, also before the attempt ends.
 const (
-	// sickHangShare is the share of requests that a sick server never answers.
-	sickHangShare = 0.75
+	// sickFaultShare is the share of requests that a sick server fails.
+	sickFaultShare = 0.85
 	// minWaitingRatio is the likelihood ratio from which an attempt that ended without a response
 	// counts as evidence.
 	minWaitingRatio = 1.5
@@ -26,7 +26,13 @@
 	l := t.latenciesOf(a.route)
 	survival := l.survival(a.target, time.Duration(float64(age)/a.crowding))
 	hang := min(1, l.hangs/l.attempts)
-	return (sickHangShare + (1-sickHangShare)*survival) / (hang + (1-hang)*survival)
+	sickHang := l.sickHangShare()
+	return (sickHang + (1-sickHang)*survival) / (hang + (1-hang)*survival)
+}
+
+// sickHangShare returns the share of requests that a sick server never answers.
+func (l *latencies) sickHangShare() float64 {
+	return sickFaultShare * l.silentShare()
 }
 
 // OverdueAfter returns the age from which an attempt is overdue.
@@ -73,6 +79,12 @@
 		if a.overdueRatio > 0 || o == Silent {
 			l.recordEnd(a.overdueRatio > 0, 1-a.Risk)
 		}
+		if a.overdueRatio > 0 {
+			l.recordFault(true)
+		}
+	case Failed, Broken:
+		l.recordFault(a.overdueRatio > 0)
+		l.recordEnd(a.overdueRatio > 0, 1-a.Risk)
 	default:
 		l.recordEnd(a.overdueRatio > 0, 1-a.Risk)
 	}
