--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 
 	"bilberrymux/core/belief"
 	"bilberrymux/core/ident"
+	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
 	"bilberrymux/io/news"
 	"bilberrymux/io/standin/gridserver"
@@ -401,6 +403,39 @@
 	}
 }
 
+// TestLeftServerStaysAwayAfterRestart removes a server while one daemon runs, restarts the other daemon
+// without the store, and checks that the restarted one neither lists the server nor sends it work: its
+// list comes from a peer, and no older one may follow.
+func TestLeftServerStaysAwayAfterRestart(t *testing.T) {
+	f, servers := start(t, Options{})
+	f.Remove("booker-1")
+	listed := func(d *Daemon) bool {
+		return slices.ContainsFunc(d.Edge.Servers(), func(s roster.Server) bool { return s.ID == "booker-1" })
+	}
+	for _, d := range f.Daemons {
+		eventually(t, "the daemon no longer lists the server", func() bool { return !listed(d) })
+	}
+	f.Store.SetFaults(rowstore.Faults{Down: rowstore.Refuse})
+	f.Daemons[1].Edge.Kill()
+	d, err := f.StartDaemon(0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the restarted daemon is ready", func() bool { return isReady(d) })
+	before := servers["booker-1"].Arrivals()
+	for range 40 {
+		if r := sendBooking(d); !r.valid() {
+			t.Errorf("booking after the restart: got %+v, want a valid response", r)
+		}
+		if listed(d) {
+			t.Fatal("the restarted daemon lists a server that has left")
+		}
+	}
+	if n := servers["booker-1"].Arrivals() - before; n > 0 {
+		t.Errorf("the server that has left got %d bookings, want 0", n)
+	}
+}
+
 func TestDaemonWithoutConfigurationRefusesAsNotRun(t *testing.T) {
 	f, err := Start(Options{Zones: []ident.ZoneID{"north"}, DaemonsPerZone: 1})
 	if err != nil {
