belief: evidence stays a probability however calm a route was

The decayed count of a route's hangs underflowed to zero after some 150,000 attempts without one; the next hang made the risk NaN for good (TestWaitingIsEvidenceAfterLongCalm failed with NaN). The share has a lower bound now, and an overdue attempt never lowers the risk. Decayed loss reports of daemons that are gone are deleted.

--- a/core/belief/belief_test.go
+++ b/core/belief/belief_test.go
@@ -308,3 +308,32 @@
 		tracker.End(now, a, Good, time.Millisecond)
 	}
 }
+
+// TestWaitingIsEvidenceAfterLongCalm checks that an attempt without a response raises the risk of its
+// server, and leaves it a probability, after a route had no hang or no silent fault for so long that
+// the decayed counts vanish.
+func TestWaitingIsEvidenceAfterLongCalm(t *testing.T) {
+	for _, usual := range []Outcome{Good, Failed} {
+		s := newScript(t)
+		s.step([]string{"servers", "x:a1:2"})
+		server := s.server("x")
+		attempt := func(age time.Duration) *Attempt {
+			return &Attempt{Server: server, Started: s.now.Add(-age), route: "r", target: time.Second, crowding: 1}
+		}
+		for range 300_000 {
+			s.tracker.End(s.now, attempt(100*time.Millisecond), usual, 100*time.Millisecond)
+		}
+		s.tracker.End(s.now, attempt(100*time.Millisecond), Good, 100*time.Millisecond)
+		before := s.state("x").riskAt(s.now)
+		a := attempt(time.Hour)
+		s.state("x").active = append(s.state("x").active, a)
+		s.tracker.Overdue(s.now, a)
+		if risk := s.tracker.currentRisk(s.now, s.state("x")); !(risk >= before && risk <= 1) {
+			t.Errorf("calm of %s outcomes: got risk %v after an hour of waiting, want %v to 1", usual, risk, before)
+		}
+		s.tracker.End(s.now, a, Silent, time.Hour)
+		if risk := s.state("x").riskAt(s.now); !(risk >= before && risk <= 1) {
+			t.Errorf("calm of %s outcomes: got risk %v after an attempt without a response, want %v to 1", usual, risk, before)
+		}
+	}
+}
--- a/core/belief/latencies.go
+++ b/core/belief/latencies.go
@@ -28,8 +28,10 @@
 	initialSilentShare   = 0.5
 	initialSilentSamples = 6
 	maxSilentSamples     = 60
-	// maxHangSamples bounds the weight of past attempts in a route's share.
+	// maxHangSamples bounds the weight of past attempts in a route's share, and minHangShare the
+	// share: however long a route was calm, one hang proves nothing for certain.
 	maxHangSamples = 200
+	minHangShare   = 0.0005
 )
 
 // latencies describes the response times of one route.
@@ -70,6 +72,11 @@
 	}
 }
 
+// hangShare returns the share of requests, at most 1, that sound servers don't answer in time.
+func (l *latencies) hangShare() float64 {
+	return min(1, max(minHangShare, l.hangs/l.attempts))
+}
+
 // recordFault records an attempt without a good response, and whether it was silent: it waited
 // until it was overdue.
 func (l *latencies) recordFault(silent bool) {
--- a/core/belief/losses.go
+++ b/core/belief/losses.go
@@ -14,7 +14,8 @@
 	degradedLossRate = 0.06
 	// lossDecayTime is the time constant with which past requests decay in the loss rate.
 	lossDecayTime = 2 * time.Second
-	// minReportedTotal is the decayed number of requests below which a loss rate is not reported.
+	// minReportedTotal is the decayed number of requests below which a loss rate is neither reported
+	// nor kept.
 	minReportedTotal = 0.1
 )
 
@@ -45,11 +46,16 @@
 	remote map[ident.VMID]lossCount
 }
 
-// degraded reports whether the loss rate has reached degradedLossRate.
+// degraded reports whether the loss rate has reached degradedLossRate. It deletes reports that have
+// decayed.
 func (l *lossRate) degraded(now time.Time) bool {
 	sum := l.own.decayed(now)
-	for _, r := range l.remote {
+	for vm, r := range l.remote {
 		r = r.decayed(now)
+		if r.total < minReportedTotal {
+			delete(l.remote, vm)
+			continue
+		}
 		sum.lost, sum.total = sum.lost+r.lost, sum.total+r.total
 	}
 	return sum.total > 0 && sum.lost/sum.total >= degradedLossRate
--- a/core/belief/waiting.go
+++ b/core/belief/waiting.go
@@ -25,8 +25,7 @@
 func (t *Tracker) waitingRatio(a *Attempt, age time.Duration) float64 {
 	l := t.latenciesOf(a.route)
 	survival := l.survival(a.target, time.Duration(float64(age)/a.crowding))
-	hang := min(1, l.hangs/l.attempts)
-	sickHang := l.sickHangShare()
+	hang, sickHang := l.hangShare(), l.sickHangShare()
 	return (sickHang + (1-sickHang)*survival) / (hang + (1-hang)*survival)
 }
 
@@ -52,7 +51,7 @@
 	if !s.isActive(a) {
 		return
 	}
-	a.overdueRatio = t.waitingRatio(a, now.Sub(a.Started))
+	a.overdueRatio = max(1, t.waitingRatio(a, now.Sub(a.Started)))
 	s.applyRatio(now, a.overdueRatio)
 	t.notifyHealthChange(s, a.Server, Overdue)
 }
