edge: results that come after the reply are discarded, and their attempts end

An attempt with a streamed answer that finished just after the caller got another one was dropped without its end, and would have stayed in flight in the daemon's view. TestHedgedLargeResponsesEnd.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -44,7 +45,11 @@
 	errorReply *serverReply
 	// refusalKind is the kind of the refusal if no attempt brings a response.
 	refusalKind refusal.Kind
-	results     chan attemptResult
+	// results has room for the results of all attempts, so that deliver never blocks.
+	results chan attemptResult
+	// mu guards released, which reports that nobody receives results any more.
+	mu       sync.Mutex
+	released bool
 	// pending is the number of attempts in flight.
 	pending int
 	cancels map[*belief.Attempt]context.CancelFunc
@@ -82,8 +87,24 @@
 	return reply, refused
 }
 
+// deliver hands the result of an attempt to run, or discards its answer after release.
+func (r *forwardState) deliver(result attemptResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.released {
+		r.results <- result
+		return
+	}
+	if result.answer != nil {
+		result.answer.Discard()
+	}
+}
+
 // release ends all attempts but that of the reply, which ends with the answer's body.
 func (r *forwardState) release(reply *serverReply) {
+	r.mu.Lock()
+	r.released = true
+	r.mu.Unlock()
 	for a, cancel := range r.cancels {
 		if reply != nil && reply.attempt == a {
 			reply.answer.AfterEnd(cancel)
@@ -187,7 +208,7 @@
 	r.pending++
 	child, cancel := context.WithCancel(ctx)
 	r.cancels[a] = cancel
-	go func() { r.results <- e.attempt(child, k, a) }()
+	go func() { r.deliver(e.attempt(child, k, a)) }()
 	return a
 }
 
--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -245,6 +245,28 @@
 	})
 }
 
+// TestHedgedLargeResponsesEnd sends reads with large responses that are hedged, and checks that the
+// attempts which lost end as well: none of them stays in flight in the daemon's view.
+func TestHedgedLargeResponsesEnd(t *testing.T) {
+	f, servers := start(t, Options{})
+	for _, s := range servers {
+		s.SetFault(gridserver.LargeBody)
+		s.SetServiceTime(600 * time.Millisecond)
+	}
+	var wg sync.WaitGroup
+	for range 12 {
+		wg.Go(func() {
+			if r := sendRead(f.Daemons[0]); !r.valid() {
+				t.Errorf("got status %d, %d bytes, error %v; want a valid response", r.Status, len(r.Body), r.Err)
+			}
+		})
+	}
+	wg.Wait()
+	eventually(t, "no attempt is in flight", func() bool {
+		return !slices.ContainsFunc(f.Daemons[0].Edge.Beliefs(), func(v belief.View) bool { return v.Active > 0 })
+	})
+}
+
 // TestEndlessResponsesAreClosed checks that the daemon closes connections on which bytes come that are
 // no response and have no end.
 func TestEndlessResponsesAreClosed(t *testing.T) {
