discovery: log when a configuration call begins to wait and what a read brought

The log told neither when a follower's feed call began, nor from which version of the store, nor which row and revision a read returned, so a call that was lost and a value recorded with too new a version looked the same.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -17,6 +17,8 @@
 	BeliefReceived = "belief about a server heard"
 	ServerChanged  = "backend server"
 	ConfigApplied  = "configuration in force"
+	ConfigAwaited  = "waiting for a configuration change"
+	ConfigRead     = "configuration read"
 	DaemonUp       = "daemon up"
 	DaemonDown     = "daemon down"
 	StoreLost      = "store lost"
--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -362,20 +362,25 @@
 func (w *Watcher) ReadConfig(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	started := time.Now()
 	rows, version, err := w.options.Store.Rows(ctx, platform.TableConfig)
 	if err != nil {
 		return fmt.Errorf("discovery: configuration: %w", err)
 	}
-	w.applyConfigRows(rows, version)
+	w.applyConfigRows(rows, version, started)
 	return nil
 }
 
 // applyConfigRows applies the configuration contained in rows of the store, if any,
-// and records that the store was read at a version.
-func (w *Watcher) applyConfigRows(rows []platform.Row, version uint64) {
+// and records that the store was read at a version by a call that was started at the
+// given time.
+func (w *Watcher) applyConfigRows(rows []platform.Row, version uint64, started time.Time) {
 	now := time.Now()
 	for _, r := range rows {
 		if r.Key == platform.KeyConfig && !r.Deleted {
+			w.options.Log.WithFields(logrus.Fields{
+				"rowVersion": r.Version, "revision": version, "tookMillis": now.Sub(started).Milliseconds(),
+			}).Info(event.ConfigRead)
 			w.applyConfig(r.Value, now, sourceStore)
 		}
 	}
@@ -405,6 +410,8 @@
 	}
 	waiting, cancel := context.WithTimeout(ctx, feedWait+feedGrace)
 	defer cancel()
+	w.options.Log.WithField("after", from).Info(event.ConfigAwaited)
+	started := time.Now()
 	rows, version, err := w.options.Store.Feed(waiting, platform.TableConfig, from, feedWait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		w.options.Log.WithField("version", from).Warn("the store no longer has the changes since this version, reading the configuration again")
@@ -413,6 +420,6 @@
 	if err != nil {
 		return fmt.Errorf("discovery: feed: %w", err)
 	}
-	w.applyConfigRows(rows, version)
+	w.applyConfigRows(rows, version, started)
 	return nil
 }
