--- a/io/standin/rowstore/rowstore.go
+++ b/io/standin/rowstore/rowstore.go
@@ -21,12 +21,14 @@
 type Mode string
 
 // Modes of rejection. Refuse answers with status 503 and TooManyRequests with status 429. Hang holds
-// the call for hangTime and then resets the connection, and Reset resets it at once.
+// the call for hangTime and then resets the connection, and Reset resets it at once. Ignore never
+// answers the call, also when the fault has ended, and keeps the connection open.
 const (
 	Refuse          Mode = "refuse"
 	TooManyRequests Mode = "tooMany"
 	Hang            Mode = "silence"
 	Reset           Mode = "reset"
+	Ignore          Mode = "ignore"
 )
 
 // Faults configures the faults that the store injects. The zero value injects none. Its field names
@@ -78,8 +80,10 @@
 	rows    map[rowKey]Row
 	history []Row
 	// droppedVersion is the last version whose changes were dropped from the history.
-	droppedVersion  uint64
-	version         uint64
+	droppedVersion uint64
+	version        uint64
+	// stopped is closed when the store is closed.
+	stopped         chan struct{}
 	faults          Faults
 	random          *rand.Rand
 	calls           map[string]int
@@ -93,7 +97,7 @@
 func New(o Options) *Server {
 	s := &Server{
 		options: o, rows: map[rowKey]Row{}, calls: map[string]int{}, callsThisSecond: map[string]int{},
-		changed: make(chan struct{}), random: rand.New(rand.NewPCG(o.Seed, 2)), started: time.Now(),
+		changed: make(chan struct{}), stopped: make(chan struct{}), random: rand.New(rand.NewPCG(o.Seed, 2)), started: time.Now(),
 	}
 	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: discardLogger{}}
 	return s
@@ -124,6 +128,9 @@
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.closed {
+		close(s.stopped)
+	}
 	s.closed = true
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -211,7 +218,7 @@
 	}
 	switch {
 	case mode != "":
-		reject(ctx, mode)
+		s.reject(ctx, mode)
 	case !s.allowCall(path):
 		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
 	default:
@@ -223,7 +230,7 @@
 const hangTime = 5 * time.Second
 
 // reject ends a call in the way that the mode describes.
-func reject(ctx *fasthttp.RequestCtx, mode Mode) {
+func (s *Server) reject(ctx *fasthttp.RequestCtx, mode Mode) {
 	switch mode {
 	case Refuse:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -234,6 +241,9 @@
 		abort(ctx)
 	case Reset:
 		abort(ctx)
+	case Ignore:
+		<-s.stopped
+		abort(ctx)
 	}
 }
 
