discovery: no call of the store is waited for longer than the bound of the configuration

Cause: the feed call that followed a cut was taken by the silent store and never answered. Each of the 16 followers waited for it for 22 s (20 s that the store may hold the call, 2 s more), all others relied on the followers for as long. The class: a wait for news, in which silence can't be told from nothing new, bounded by its own timeout and not by the time within which the news must be in force.

Change: the first daemon of a zone holds a call open for 0.4 of bounds.config at the longest and calls again; the others call by themselves once the confirmation is 0.5 s late, 0.15 s later for each rank (core/refresh.Schedule; the list of servers uses the same code). While the store does not answer a daemon makes one call at a time, of list or configuration, after random pauses of at most 0.3 s for each live daemon of its zone (core/refresh.Limiter). The pauses before grew to 3 s in step at all daemons of a zone: in the test's simulation of one zone, 100 daemons made no call for 4.8 s.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -17,7 +17,6 @@
 	BeliefReceived = "belief about a server heard"
 	ServerChanged  = "backend server"
 	ConfigApplied  = "configuration in force"
-	ConfigAwaited  = "waiting for a configuration change"
 	ConfigRead     = "configuration read"
 	DaemonUp       = "daemon up"
 	DaemonDown     = "daemon down"
--- /dev/null
+++ b/core/refresh/refresh.go
@@ -0,0 +1,28 @@
+// Package refresh decides when a daemon reads shared data from the platform's store: how
+// the daemons of a zone take turns, and how they pause while the store does not answer.
+// It does no I/O and starts no goroutines.
+package refresh
+
+import "time"
+
+// rankDelay is how much longer each daemon of a zone after the second one waits than the
+// daemon before it.
+const rankDelay = 150 * time.Millisecond
+
+// Schedule configures how the daemons of a zone take turns in reading one kind of data.
+type Schedule struct {
+	// Period is the age of the data at which the first daemon reads it again.
+	Period time.Duration
+	// SecondDelay is how much longer the second daemon waits than the first one. It must
+	// cover the time until the second daemon hears of the first one's read.
+	SecondDelay time.Duration
+}
+
+// MaxAge returns the age of the data at which the daemon with a rank in its zone reads it
+// again. Rank 0 is the first daemon.
+func (s Schedule) MaxAge(rank int) time.Duration {
+	if rank == 0 {
+		return s.Period
+	}
+	return s.Period + s.SecondDelay + time.Duration(rank-1)*rankDelay
+}
--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"bilberrymux/core/catalog"
 	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
+	"bilberrymux/core/refresh"
 	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
 	"bilberrymux/io/news"
@@ -31,6 +33,8 @@
 	// DrainDelay is the maximum time until a server that starts to drain must no
 	// longer receive new requests.
 	DrainDelay time.Duration
+	// ConfigDelay is the maximum time until an accepted configuration must be in force.
+	ConfigDelay time.Duration
 	// OnConfig is called after each change of the active configuration.
 	OnConfig func(c *catalog.Catalog)
 	// OnRoster is called after each change of the list of servers, with the new and
@@ -75,17 +79,17 @@
 	// reportedRows holds the keys of the unreadable rows that were already logged.
 	reportedRows map[string]bool
 
-	// The following fields are used only by the goroutine of FollowServers, without the lock.
-	// backoff is the delay after the last failed read, nextRead is the earliest time of the
-	// next read, and storeDown reports whether the last read failed.
-	backoff   time.Duration
-	nextRead  time.Time
-	storeDown bool
+	calls                        *refresh.Limiter
+	listSchedule, configSchedule refresh.Schedule
 }
 
 // New returns a Watcher with an empty configuration and no servers.
 func New(o Options) *Watcher {
-	w := &Watcher{options: o, rows: newRowSet(), reportedRows: map[string]bool{}}
+	w := &Watcher{
+		options: o, rows: newRowSet(), reportedRows: map[string]bool{}, calls: refresh.NewLimiter(rand.Float64),
+		listSchedule:   schedule(o.DrainDelay, secondReaderDelay),
+		configSchedule: schedule(o.ConfigDelay, secondFollowerDelay),
+	}
 	empty, err := catalog.New(0, nil, nil, catalog.Limits{})
 	if err != nil {
 		panic(err)
@@ -248,7 +252,7 @@
 		w.peerVersion, w.peerVersionAt = m.Version, now
 	}
 	late := m.Version > version && now.Sub(w.peerVersionAt) > crossZoneConfigDelay
-	if !sameZone && !late && age(now, w.serversConfirmedAt) < w.maxListAge(crossZoneReaderRank) {
+	if !sameZone && !late && age(now, w.serversConfirmedAt) < w.listSchedule.MaxAge(crossZoneReaderRank) {
 		return nil
 	}
 	return &news.StateRequest{Version: version, Revision: w.listRevision, Members: w.listRevision == 0}
@@ -390,29 +394,25 @@
 	w.feedFrom = max(w.feedFrom, version)
 }
 
-const (
-	// feedWait is the time for which the store holds a feed call open while there is
-	// no change.
-	feedWait = 20 * time.Second
-	// feedGrace is added to feedWait for the client's timeout of the call.
-	feedGrace = 2 * time.Second
-)
+// configCallTimeout limits the duration of a call for changes of the configuration, beyond
+// the time for which the store may hold it open.
+const configCallTimeout = 1200 * time.Millisecond
 
-// pollConfig makes one long-polling call for changes of the configuration and
-// applies the result. It reads the whole configuration if no version to start from is
-// known or if the store no longer has the changes since that version.
-func (w *Watcher) pollConfig(ctx context.Context) error {
+// pollConfig makes one call for changes of the configuration, which the store may hold
+// open for the time wait until there is a change, and applies the result. It reads the
+// whole configuration if no version to start from is known or if the store no longer has
+// the changes since that version.
+func (w *Watcher) pollConfig(ctx context.Context, wait time.Duration) error {
 	w.mu.Lock()
 	from := w.feedFrom
 	w.mu.Unlock()
 	if from == 0 {
 		return w.ReadConfig(ctx)
 	}
-	waiting, cancel := context.WithTimeout(ctx, feedWait+feedGrace)
+	waiting, cancel := context.WithTimeout(ctx, wait+configCallTimeout)
 	defer cancel()
-	w.options.Log.WithField("after", from).Info(event.ConfigAwaited)
 	started := time.Now()
-	rows, version, err := w.options.Store.Feed(waiting, platform.TableConfig, from, feedWait)
+	rows, version, err := w.options.Store.Feed(waiting, platform.TableConfig, from, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		w.options.Log.WithField("version", from).Warn("the store no longer has the changes since this version, reading the configuration again")
 		return w.ReadConfig(ctx)
--- a/io/discovery/discovery_test.go
+++ b/io/discovery/discovery_test.go
@@ -24,7 +24,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Options{
-		Store: store, Members: zone.New(zone.Member{VM: "a"}), Log: log.WithField("vm", "a"), DrainDelay: 2 * time.Second,
+		Store: store, Members: zone.New(zone.Member{VM: "a"}), Log: log.WithField("vm", "a"), DrainDelay: 2 * time.Second, ConfigDelay: 2 * time.Second,
 		OnConfig: func(*catalog.Catalog) {}, OnRoster: func(time.Time, *roster.Roster, *roster.Roster) {}, Count: func(string) {},
 	})
 }
@@ -106,7 +106,7 @@
 	if r := w.StateRequestFor(soon, from("far", 0, 7)); r == nil || r.Members {
 		t.Errorf("a configuration version that only another zone has: got request %+v, want one without Members", r)
 	}
-	late := now.Add(w.maxListAge(crossZoneReaderRank) + time.Millisecond)
+	late := now.Add(w.listSchedule.MaxAge(crossZoneReaderRank) + time.Millisecond)
 	if w.StateRequestFor(late, from("far", 99, 0)) == nil {
 		t.Error("no request to another zone although the list reached the maximum age of the reader at crossZoneReaderRank")
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -137,7 +137,8 @@
 	})
 	e.watcher = discovery.New(discovery.Options{
 		Store: e.store, Members: e.members, Log: e.log, DrainDelay: s.Bounds.Drain.Duration(),
-		OnConfig: e.configChanged, OnRoster: e.rosterChanged, Count: e.count,
+		ConfigDelay: s.Bounds.Config.Duration(),
+		OnConfig:    e.configChanged, OnRoster: e.rosterChanged, Count: e.count,
 	})
 	e.callerServer = newCallerServer(e)
 	e.infoServer = newInfoServer(e)
