--- a/io/discovery/silence_test.go
+++ b/io/discovery/silence_test.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"bilberrymux/core/ident"
+	"bilberrymux/internal/silentconn"
 	"bilberrymux/io/standin/rowstore"
 	"bilberrymux/platform"
 )
@@ -62,41 +61,19 @@
 	waitForVersion(t, w, 2, stableWindow)
 }
 
-// silentConn is a connection whose incoming bytes are lost once silent is true.
-type silentConn struct {
-	net.Conn
-	silent *atomic.Bool
-}
-
-func (c *silentConn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if err != nil || !c.silent.Load() {
-			return n, err
-		}
-	}
-}
-
 func TestSilentStoreConnectionDoesNotDelayConfiguration(t *testing.T) {
 	server, address, stop, err := rowstore.Start(rowstore.Options{Seed: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer stop()
-	silent := &atomic.Bool{}
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		if err != nil || silent.Load() {
-			return c, err
-		}
-		return &silentConn{c, silent}, nil
-	}
+	dialer := &silentconn.Dialer{}
 	server.Put(platform.TableConfig, platform.KeyConfig, configRow(1))
-	w := newTestWatcher(t, platform.NewStore(address, dial, func(string, string) {}))
+	w := newTestWatcher(t, platform.NewStore(address, dialer.Dial, func(string, string) {}))
 	follow(t, w)
 	waitForVersion(t, w, 1, stableWindow)
 	time.Sleep(500 * time.Millisecond)
-	silent.Store(true)
+	dialer.Silence()
 	server.Put(platform.TableConfig, platform.KeyConfig, configRow(2))
 	waitForVersion(t, w, 2, stableWindow)
 }
