edge: a silent peer no longer holds back the fetch from the others

One that announces newer data and then never answers (a full link, a one-way cut, a frozen process) held the only fetch for its timeout of 1 s, and with its next message again, so that versions known to all other peers did not arrive.

refresh.Fetches allows a fetch from another peer after 300 ms, at most three at a time and one a peer.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -24,6 +24,7 @@
 	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/poison"
+	"bilberrymux/core/refresh"
 	"bilberrymux/core/settings"
 	"bilberrymux/core/zone"
 	"bilberrymux/io/backend"
@@ -81,8 +82,8 @@
 	// ownersCheckedAt is the time of the last adaptation of the budget to the owners of the hosts.
 	// Only the gossip goroutine uses it.
 	ownersCheckedAt time.Time
-	// fetching reports whether a fetch of state from a peer is in progress.
-	fetching atomic.Bool
+	// fetches holds the fetches of state from peers that are in progress.
+	fetches  *refresh.Fetches
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	requests atomic.Int64
@@ -119,7 +120,7 @@
 	e := &Edge{
 		options: o, settings: s, metrics: meter.New(),
 		log:        o.Log.WithField("vm", s.VM),
-		quarantine: poison.New(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
+		quarantine: poison.New(), fetches: refresh.NewFetches(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -198,14 +198,14 @@
 // fetchTimeout bounds one fetch of state from a peer.
 const fetchTimeout = time.Second
 
-// fetchState fetches and applies state that is newer at a peer. It does nothing while another
-// fetch is in progress.
+// fetchState fetches and applies state that is newer at a peer. It does nothing while as many
+// fetches are in progress as refresh.Fetches allows.
 func (e *Edge) fetchState(from zone.Member, r *news.StateRequest) {
-	if !e.fetching.CompareAndSwap(false, true) {
+	if !e.fetches.Begin(time.Now(), from.VM) {
 		return
 	}
 	e.tasks.Go(func() {
-		defer e.fetching.Store(false)
+		defer e.fetches.End(from.VM)
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
 		s, err := e.transport.Fetch(ctx, from.PeerAddress, r)
--- a/io/standin/gridfleet/faults_test.go
+++ b/io/standin/gridfleet/faults_test.go
@@ -1,6 +1,7 @@
 package gridfleet
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -15,8 +16,11 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"bilberrymux/core/belief"
+	"bilberrymux/core/ident"
 	"bilberrymux/core/zone"
+	"bilberrymux/io/netfault"
 	"bilberrymux/io/news"
+	"bilberrymux/io/periodic"
 	"bilberrymux/io/standin/gridserver"
 )
 
@@ -283,3 +287,48 @@
 		t.Errorf("another request was quarantined: %+v", r)
 	}
 }
+
+// TestSilentPeerDoesNotDelayConfiguration cuts a daemon off from the store. A peer that accepts connections
+// and never answers announces a newer version to it all the time.
+func TestSilentPeerDoesNotDelayConfiguration(t *testing.T) {
+	rules := &netfault.Rules{}
+	f, _ := start(t, Options{Rules: rules})
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	body, err := cbor.Marshal(&news.Message{
+		From: zone.Member{VM: "silent", Incarnation: "silent~1", Zone: "north", PeerAddress: silent.Addr().String()}, Version: math.MaxUint32,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := f.Daemons[1]
+	c, err := net.Dial("udp", net.JoinHostPort(d.Settings.IP, fmt.Sprint(portPeers)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		periodic.Every(ctx, 10*time.Millisecond, func(time.Time) {
+			if _, err := c.Write(body); err != nil {
+				t.Error(err)
+			}
+		})
+		c.Close()
+	})
+	defer wg.Wait()
+	defer cancel()
+	rules.Set([]netfault.Rule{{From: f.Address, To: string(d.Settings.VM), Drop: true}})
+	time.Sleep(500 * time.Millisecond)
+	version := ident.Version(f.Configure(standardRoutes(), "reader", "booker"))
+	bound := d.Settings.Bounds.Config.Duration()
+	for limit := time.Now().Add(bound); d.Edge.Version() < version && time.Now().Before(limit); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := d.Edge.Version(); got < version {
+		t.Errorf("%v after version %d was accepted: got version %d", bound, version, got)
+	}
+}
