--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -137,7 +137,8 @@
 // the outcome, and an answer if the response headers and a body of up to
 // maxBufferedBody bytes were read completely. The error is nil if and only if there is
 // an answer. The context's deadline applies to the request and, for a streamed answer,
-// to its body.
+// to its body. If a connection that was used before brought no answer in time, the idle
+// connections to the address are closed, since they may be silent as well.
 func (c *Client) Do(ctx context.Context, address string, req *fasthttp.Request, o Options) (*Answer, shard.Outcome, error) {
 	sc, err := c.connection(ctx, address, o)
 	if err != nil {
@@ -154,6 +155,9 @@
 		outcome := failureOutcome(ctx, sc, err)
 		c.closeConn(sc, closeReason(outcome))
 		fasthttp.ReleaseResponse(resp)
+		if outcome == shard.SilentConnection {
+			c.Invalidate(address)
+		}
 		if outcome == shard.Broken && sc.reused {
 			outcome = shard.StaleConnection
 		}
