edge: gauges of the ages of the configuration and the list of servers

The gauges are the times since the store confirmed what the daemon has, through itself or a peer; above the bounds something is late. TestMetricsShowAgeOfConfiguration sees the age pass the bound in an outage and come back.

--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -194,9 +194,9 @@
 	}
 }
 
-// ages returns the times since the last known reads, by any daemon, that confirmed
-// the configuration and the list.
-func (w *Watcher) ages(now time.Time) (config, servers time.Duration) {
+// Ages returns the times since the last known reads, by any daemon, that confirmed
+// the configuration and the list, or one hour if there was none.
+func (w *Watcher) Ages(now time.Time) (config, servers time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return age(now, w.configConfirmedAt), age(now, w.serversConfirmedAt)
--- a/io/discovery/discovery_test.go
+++ b/io/discovery/discovery_test.go
@@ -62,7 +62,7 @@
 			t.Fatal("StateRequestFor returned nil for a newer list")
 		}
 		w.ApplyState(now, reader.StateFor(&news.StateRequest{}), "reader")
-		if _, servers := w.ages(now); servers > time.Second {
+		if _, servers := w.Ages(now); servers > time.Second {
 			t.Fatalf("age of a list that was just read: got %v, want at most 1s", servers)
 		}
 	}
@@ -76,7 +76,7 @@
 		}
 	}
 	for _, w := range []*Watcher{first, second} {
-		if _, servers := w.ages(now); servers < 7*time.Second {
+		if _, servers := w.Ages(now); servers < 7*time.Second {
 			t.Errorf("age of the list 8s after the last read from the store: got %v, want at least 7s", servers)
 		}
 	}
--- a/io/discovery/run.go
+++ b/io/discovery/run.go
@@ -44,7 +44,7 @@
 func (w *Watcher) FollowServers(ctx context.Context) {
 	w.awaitPeers(ctx, listReaderKey)
 	periodic.Every(ctx, ageCheckInterval, func(now time.Time) {
-		_, servers := w.ages(now)
+		_, servers := w.Ages(now)
 		if servers < w.listSchedule.MaxAge(w.options.Members.Rank(listReaderKey)) || !w.beginCall(now) {
 			return
 		}
@@ -82,7 +82,7 @@
 	if rank == 0 && !w.calls.Down() {
 		return w.configSchedule.Period, true
 	}
-	config, _ := w.ages(now)
+	config, _ := w.Ages(now)
 	return 0, config >= w.configSchedule.MaxAge(rank)
 }
 
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -30,6 +30,9 @@
 	set := e.metrics.Set
 	set("config.version", int64(e.Version()))
 	set("servers.listed", int64(len(e.Servers())))
+	configAge, serversAge := e.watcher.Ages(time.Now())
+	set("config.ageMillis", configAge.Milliseconds())
+	set("servers.ageMillis", serversAge.Milliseconds())
 	set("requests.inFlight", e.inFlight.Load())
 	set("connections.servers", e.backend.OpenConns())
 	set("daemons.live", int64(len(e.members.Live())+1))
--- a/io/standin/gridfleet/metrics_test.go
+++ b/io/standin/gridfleet/metrics_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bilberrymux/io/standin/gridserver"
+	"bilberrymux/io/standin/rowstore"
 )
 
 // fetchMetrics returns the lines of a daemon's metrics endpoint.
@@ -63,3 +64,22 @@
 		t.Errorf("metrics missing (-want none +missing):\n%s\ngot:\n%s", diff, strings.Join(lines, "\n"))
 	}
 }
+
+func TestMetricsShowAgeOfConfiguration(t *testing.T) {
+	f, _ := start(t, Options{DaemonsPerZone: 1})
+	f.Store.SetFaults(rowstore.Faults{Down: rowstore.Ignore})
+	age := func() int {
+		for _, l := range fetchMetrics(t, f.Daemons[0]) {
+			var millis int
+			if _, err := fmt.Sscanf(l, "bilberrymux_config_ageMillis %d", &millis); err == nil {
+				return millis
+			}
+		}
+		t.Fatal("the metric is missing")
+		return 0
+	}
+	bound := f.Daemons[0].Settings.Bounds.Config.Duration()
+	eventually(t, "the age passes the bound", func() bool { return age() > int(bound.Milliseconds()) })
+	f.Store.SetFaults(rowstore.Faults{})
+	eventually(t, "the age is within the bound again", func() bool { return age() <= int(bound.Milliseconds()) })
+}
