--- a/core/belief/losses.go
+++ b/core/belief/losses.go
@@ -46,9 +46,9 @@
 	remote map[ident.VMID]lossCount
 }
 
-// degraded reports whether the loss rate has reached degradedLossRate. It deletes reports that have
+// rate returns the share of requests, from 0 to 1, that the zone lost. It deletes reports that have
 // decayed.
-func (l *lossRate) degraded(now time.Time) bool {
+func (l *lossRate) rate(now time.Time) float64 {
 	sum := l.own.decayed(now)
 	for vm, r := range l.remote {
 		r = r.decayed(now)
@@ -58,7 +58,23 @@
 		}
 		sum.lost, sum.total = sum.lost+r.lost, sum.total+r.total
 	}
-	return sum.total > 0 && sum.lost/sum.total >= degradedLossRate
+	if sum.total == 0 {
+		return 0
+	}
+	return sum.lost / sum.total
+}
+
+// degraded reports whether the loss rate has reached degradedLossRate.
+func (l *lossRate) degraded(now time.Time) bool {
+	return l.rate(now) >= degradedLossRate
+}
+
+// LossRate returns the share of a service's recent requests, from 0 to 1, that the daemons of the zone
+// lost.
+func (t *Tracker) LossRate(now time.Time, service ident.ServiceID) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lossRateOf(service).rate(now)
 }
 
 // LossReports returns the loss rates of this daemon's own requests, in no particular order.
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -38,7 +38,9 @@
 	set("daemons.live", int64(len(e.members.Live())+1))
 	set("connections.callers", int64(e.callerServer.app.Server().GetOpenConnectionsCount()))
 	for id := range e.watcher.Catalog().Services {
-		set(meter.Name("budget", meter.Label{Key: "service", Value: string(id)}), int64(e.budget.Balance(id)))
+		service := meter.Label{Key: "service", Value: string(id)}
+		set(meter.Name("budget", service), int64(e.budget.Balance(id)))
+		set(meter.Name("lossPerMille", service), int64(1000*e.tracker.LossRate(time.Now(), id)))
 	}
 	if e.options.LogDropped != nil {
 		set("log.dropped", e.options.LogDropped())
--- a/io/standin/gridfleet/metrics_test.go
+++ b/io/standin/gridfleet/metrics_test.go
@@ -65,19 +65,23 @@
 	}
 }
 
+// gauge returns the value of a daemon's gauge.
+func gauge(t *testing.T, d *Daemon, name string) int {
+	t.Helper()
+	for _, l := range fetchMetrics(t, d) {
+		var value int
+		if _, err := fmt.Sscanf(l, name+" %d", &value); err == nil {
+			return value
+		}
+	}
+	t.Fatalf("no metric %s", name)
+	return 0
+}
+
 func TestMetricsShowAgeOfConfiguration(t *testing.T) {
 	f, _ := start(t, Options{DaemonsPerZone: 1})
 	f.Store.SetFaults(rowstore.Faults{Down: rowstore.Ignore})
-	age := func() int {
-		for _, l := range fetchMetrics(t, f.Daemons[0]) {
-			var millis int
-			if _, err := fmt.Sscanf(l, "bilberrymux_config_ageMillis %d", &millis); err == nil {
-				return millis
-			}
-		}
-		t.Fatal("the metric is missing")
-		return 0
-	}
+	age := func() int { return gauge(t, f.Daemons[0], "bilberrymux_config_ageMillis") }
 	bound := f.Daemons[0].Settings.Bounds.Config.Duration()
 	eventually(t, "the age passes the bound", func() bool { return age() > int(bound.Milliseconds()) })
 	f.Store.SetFaults(rowstore.Faults{})
