--- a/io/standin/gridfleet/faults_test.go
+++ b/io/standin/gridfleet/faults_test.go
@@ -332,3 +332,40 @@
 		t.Errorf("%v after version %d was accepted: got version %d", bound, version, got)
 	}
 }
+
+func TestRequestsGivenUpLateCountAsLost(t *testing.T) {
+	f, servers := start(t, Options{DaemonsPerZone: 1})
+	d := f.Daemons[0]
+	servers["booker-1"].SetFault(gridserver.Hang)
+	servers["booker-2"].SetFault(gridserver.Hang)
+	giveUpAfter := func(wait time.Duration) {
+		c, err := net.Dial("tcp", d.Settings.CallerAddress)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /b/x HTTP/1.1\r\nHost: %s\r\nBilberrymux-Request-Id: late-%d\r\nContent-Length: 0\r\n\r\n", bookHost, lastRequestID.Add(1))
+		time.Sleep(wait)
+	}
+	target := time.Duration(standardRoutes()[1].Target * float64(time.Second))
+	loss := func() int { return gauge(t, d, `bilberrymux_lossPerMille{service="booker"}`) }
+	for range 5 {
+		giveUpAfter(target / 10)
+	}
+	if got := loss(); got != 0 {
+		t.Errorf("loss after callers left early: got %d per mille, want 0", got)
+	}
+	var wg sync.WaitGroup
+	for range 10 {
+		wg.Go(func() { giveUpAfter(target + 200*time.Millisecond) })
+	}
+	wg.Wait()
+	limit := time.Now().Add(2 * time.Second)
+	for loss() < 900 && time.Now().Before(limit) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := loss(); got < 900 {
+		t.Errorf("loss after all callers left later than the target: got %d per mille, want 900 or more", got)
+	}
+}
