edge: requests that callers give up after the target latency count as lost

Cause: the floor uses suspect servers again only where the zone counts the service as degraded, and the zone left out every request whose caller had disconnected. Most callers of hanging servers leave a moment before our own deadline, so of the losses by hangs almost none counted. The class: the outcome of a race between caller and daemon decided whether an observation counts.

Change: a request whose caller left after the route's target latency is lost; one that left earlier tells nothing, as before.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -79,7 +79,7 @@
 		results: make(chan attemptResult, maxDialFailures+k.route.Attempts+1), cancels: map[*belief.Attempt]context.CancelFunc{},
 	}
 	reply, refused := r.run(ctx)
-	if !r.usedFloor && (refused == nil || refused.Kind != refusal.CallerDisconnected) {
+	if !r.usedFloor && !leftEarly(k, refused) {
 		served := refused == nil && reply.answer.Response.StatusCode() < fasthttp.StatusInternalServerError
 		e.tracker.RecordRequest(time.Now(), k.service, served)
 	}
@@ -87,6 +87,12 @@
 	return reply, refused
 }
 
+// leftEarly reports whether the caller disconnected before the target latency had passed, so that the
+// request tells nothing about its service. Callers that leave later have waited in vain.
+func leftEarly(k *call, refused *refusal.Error) bool {
+	return refused != nil && refused.Kind == refusal.CallerDisconnected && time.Since(k.received) < k.route.TargetLatency
+}
+
 // deliver hands the result of an attempt to run, or discards its answer after release.
 func (r *forwardState) deliver(result attemptResult) {
 	r.mu.Lock()
