edge: read the limits that backend servers name, log and show them

Responses' Server-Limit is now parsed (invalid values are logged and counted), a change of it is one log line (limit of a backend server), and the gauge servers.limited counts the servers with one. Requests are not yet held to it.

--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -37,6 +37,9 @@
 	})
 	took := time.Since(start)
 	outcome := outcomeOf(answer, exchangeOutcome, k.id)
+	if outcome == belief.Good || outcome == belief.Failed || outcome == belief.Shed {
+		e.learnLimit(&a.Server, answer)
+	}
 	e.recordEnd(a, answer, outcome, took)
 	e.recordAttempt(k, a, outcome, took, err)
 	if outcome == belief.Broken {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -24,6 +24,7 @@
 	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/poison"
+	"bilberrymux/core/ratelimit"
 	"bilberrymux/core/refresh"
 	"bilberrymux/core/settings"
 	"bilberrymux/core/zone"
@@ -59,6 +60,7 @@
 	watcher      *discovery.Watcher
 	tracker      *belief.Tracker
 	budget       *budget.Budget
+	limits       *ratelimit.Limits
 	quarantine   *poison.Quarantine
 	backend      *backend.Client
 	store        *platform.Store
@@ -120,7 +122,7 @@
 	e := &Edge{
 		options: o, settings: s, metrics: meter.New(),
 		log:        o.Log.WithField("vm", s.VM),
-		quarantine: poison.New(), fetches: refresh.NewFetches(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
+		quarantine: poison.New(), limits: ratelimit.New(), fetches: refresh.NewFetches(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -239,6 +239,7 @@
 // addresses that are no longer listed.
 func (e *Edge) rosterChanged(now time.Time, r, before *roster.Roster) {
 	e.tracker.Sync(now, r)
+	e.limits.Sync(r)
 	listed := map[string]bool{}
 	for i := range r.Servers() {
 		listed[r.Servers()[i].Address] = true
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -33,6 +33,7 @@
 	configAge, serversAge := e.watcher.Ages(time.Now())
 	set("config.ageMillis", configAge.Milliseconds())
 	set("servers.ageMillis", serversAge.Milliseconds())
+	set("servers.limited", int64(e.limits.Count()))
 	set("requests.inFlight", e.inFlight.Load())
 	set("connections.servers", e.backend.OpenConns())
 	set("daemons.live", int64(len(e.members.Live())+1))
