--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -62,6 +62,8 @@
 	arrivals    atomic.Int64
 	inFlight    atomic.Int64
 	endless     atomic.Int64
+	// limit is the value of the header with the server's limit; empty if it names none.
+	limit atomic.Pointer[string]
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -90,6 +92,7 @@
 	s.SetID(id)
 	s.serviceTime.Store(int64(serviceTime))
 	s.SetFault(Healthy)
+	s.SetLimit("")
 	return s
 }
 
@@ -125,6 +128,10 @@
 // SetFault sets the fault that applies to requests that arrive from now on.
 func (s *Server) SetFault(f Fault) { s.fault.Store(&f) }
 
+// SetLimit sets the limit, in requests per second, that the server names in its responses from now
+// on. With an empty text it names none.
+func (s *Server) SetLimit(perSecond string) { s.limit.Store(&perSecond) }
+
 // SetServiceTime sets how long requests that start from now on take.
 func (s *Server) SetServiceTime(d time.Duration) { s.serviceTime.Store(int64(d)) }
 
@@ -338,6 +345,9 @@
 
 // writeResponse writes a complete HTTP response. Each of the extra headers ends with CRLF.
 func (s *Server) writeResponse(c net.Conn, id string, status int, body, headers string) {
+	if limit := *s.limit.Load(); limit != "" {
+		headers += "Server-Limit: " + limit + "\r\n"
+	}
 	fmt.Fprintf(c, "HTTP/1.1 %s\r\nBilberrymux-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		strconv.Itoa(status)+" "+http.StatusText(status), id, headers, len(body), body)
 }
