--- a/io/standin/gridfleet/faults_test.go
+++ b/io/standin/gridfleet/faults_test.go
@@ -32,6 +32,7 @@
 	faults := []gridserver.Fault{
 		gridserver.ResetBeforeRun, gridserver.ResetAfterRun, gridserver.Error, gridserver.Shed, gridserver.ExtraResponse,
 		gridserver.TruncatedBody, gridserver.UnframedBody, gridserver.Unsigned, gridserver.EndlessHead, gridserver.EndlessBody,
+		gridserver.TruncatedHead, gridserver.RepeatedRefusal, gridserver.AnonymousRefusal,
 	}
 	for _, fault := range faults {
 		t.Run(string(fault), func(t *testing.T) {
@@ -64,6 +65,20 @@
 	}
 }
 
+func TestRefusalOfEarlierRequestIsNotTakenForNextOne(t *testing.T) {
+	for _, fault := range []gridserver.Fault{gridserver.RepeatedRefusal, gridserver.AnonymousRefusal} {
+		t.Run(string(fault), func(t *testing.T) {
+			f, servers := start(t, Options{DaemonsPerZone: 1})
+			for _, s := range servers {
+				s.SetFault(fault)
+			}
+			for range 50 {
+				checkResponse(t, servers, sendBooking(f.Daemons[0]))
+			}
+		})
+	}
+}
+
 // TestLargeResponsesArriveWhole checks that a response which is larger than the daemon's buffer reaches
 // the caller completely.
 func TestLargeResponsesArriveWhole(t *testing.T) {
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -37,6 +37,13 @@
 	ExtraResponse Fault = "extra"
 	// TruncatedBody declares the full Content-Length, sends half of the body and closes the connection.
 	TruncatedBody Fault = "cut"
+	// TruncatedHead stops in the middle of the headers of a success and closes the connection.
+	TruncatedHead Fault = "cutHead"
+	// RepeatedRefusal writes a refusal of the connection's previous request once more, after the next
+	// request has arrived, then runs that and answers it. AnonymousRefusal does the same without the
+	// id of the previous request.
+	RepeatedRefusal  Fault = "repeatedRefusal"
+	AnonymousRefusal Fault = "anonymousRefusal"
 	// UnframedBody sends half of the body without a Content-Length, then resets the connection
 	// after faultDelay.
 	UnframedBody Fault = "unframed"
@@ -201,6 +208,7 @@
 		c.Close()
 	}()
 	r := bufio.NewReader(c)
+	previous := ""
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -210,9 +218,27 @@
 		if _, err := bufio.NewReader(req.Body).WriteTo(&body); err != nil {
 			return
 		}
+		s.repeatRefusal(c, previous)
 		if !s.handle(c, r, req, body.String()) {
 			return
 		}
+		previous = req.Header.Get("Bilberrymux-Request-Id")
+	}
+}
+
+// repeatRefusal writes a refusal of the connection's previous request, if the fault asks for it and
+// there was one.
+func (s *Server) repeatRefusal(c net.Conn, previous string) {
+	id := ""
+	switch *s.fault.Load() {
+	case RepeatedRefusal:
+		id = "Bilberrymux-Request-Id: " + previous + "\r\n"
+	case AnonymousRefusal:
+	default:
+		return
+	}
+	if previous != "" {
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%sBilberrymux-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 	}
 }
 
@@ -297,6 +323,9 @@
 	case EndlessBody:
 		s.writeEndlessly(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "noise")
 		return false
+	case TruncatedHead:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: %s\r\n%sContent-Length: 1", id, signature)
+		return false
 	case TruncatedBody:
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 			id, signature, len(body), body[:len(body)/2])
