--- a/io/standin/gridfleet/faults_test.go
+++ b/io/standin/gridfleet/faults_test.go
@@ -242,6 +242,11 @@
 		`{"service":"booker","address":"127.0.0.1:1","zone":"north","version":"v1","capacity":"4","state":"ready","warmup_left_s":0,"sequence":1,"born":1}`,
 		`{"service":"booker","address":"127.0.0.1:1","zone":"north","version":"v1","capacity":4,"state":"odd","warmup_left_s":0,"sequence":1,"born":1}`,
 		`{"service":"booker","address":"127.0.0.1:1","zone":"north","version":"v1","capacity":4,"state":"ready","warmup_left_s":0,"sequence":1,"born":1.5}`,
+		`{"service":"booker","address":"127.0.0.1:99999","zone":"north","version":"v1","capacity":4,"state":"ready","warmup_left_s":0,"sequence":1,"born":1}`,
+		`{"service":"booker","address":"127.0.0.1:1","zone":"north","version":"v1","capacity":9000000000000000000,"state":"ready","warmup_left_s":0,"sequence":1,"born":1}`,
+		`{"service":"booker","address":"127.0.0.1:1","zone":"north","version":"v1","capacity":4,"state":"ready","warmup_left_s":1e999,"sequence":1,"born":1}`,
+		strings.Repeat("[", 60_000),
+		strings.Repeat(`{"a":`, 12_000),
 	} {
 		f.Store.Put("servers", fmt.Sprintf("odd-%d", i), []byte(row))
 	}
