discovery: large rows are not sent in datagrams

Change: changes of more than 4 KB are left to the peers' fetches, and the text of unreadable rows, of no use to peers, is not kept. TestLargeRowsAreNotSentInDatagrams failed before (60,142 bytes, and the unreadable row passed on).

--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -297,8 +297,8 @@
 }
 
 // Changes returns the changes of the list after the revision base, to be sent in a
-// datagram. It returns nil if there are none, if there are more than
-// maxDatagramChanges, or if another daemon read the list.
+// datagram. It returns nil if there are none, if they don't fit a datagram, or if
+// another daemon read the list.
 func (w *Watcher) Changes(base uint64) *news.Changes {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -306,14 +306,18 @@
 		return nil
 	}
 	c := w.rows.since(base, w.listRevision)
-	if len(c.Servers)+len(c.Removed) == 0 || len(c.Servers)+len(c.Removed) > maxDatagramChanges {
+	if len(c.Servers)+len(c.Removed) == 0 || !fitsDatagram(c) {
 		return nil
 	}
 	return c
 }
 
-// maxDatagramChanges limits the number of servers in the changes of one datagram.
-const maxDatagramChanges = 12
+// maxDatagramChanges limits the number of servers in the changes of one datagram, and
+// maxDatagramChangeBytes the size of their rows and keys.
+const (
+	maxDatagramChanges     = 12
+	maxDatagramChangeBytes = 4 << 10
+)
 
 // ApplyState updates the configuration and the list from a peer's state.
 func (w *Watcher) ApplyState(now time.Time, s *news.State, from ident.VMID) {
--- a/io/discovery/rows.go
+++ b/io/discovery/rows.go
@@ -70,6 +70,8 @@
 		server, err := platform.DecodeServer(key, value)
 		if err != nil {
 			decodeErrors[key] = err
+			// The text of an unreadable row is of no use to peers, and may be large.
+			r.value = nil
 		}
 		r.server, r.valid = server, err == nil
 		s.rows[key] = r
@@ -100,6 +102,18 @@
 	return c
 }
 
+// fitsDatagram reports whether the changes are small enough for the datagrams between daemons.
+func fitsDatagram(c *news.Changes) bool {
+	size := 0
+	for key, value := range c.Servers {
+		size += len(key) + len(value)
+	}
+	for _, key := range c.Removed {
+		size += len(key)
+	}
+	return len(c.Servers)+len(c.Removed) <= maxDatagramChanges && size <= maxDatagramChangeBytes
+}
+
 // list returns the servers of all rows that can be decoded.
 func (s *rowSet) list() []roster.Server {
 	out := make([]roster.Server, 0, len(s.rows))
--- a/io/discovery/rows_test.go
+++ b/io/discovery/rows_test.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -9,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"bilberrymux/io/news"
 	"bilberrymux/platform"
 )
 
@@ -71,3 +74,38 @@
 		t.Errorf("changes after a repeated report: got servers %v and removed %v, want none", c.Servers, c.Removed)
 	}
 }
+
+// TestLargeRowsAreNotSentInDatagrams checks that rows which would not fit a datagram are left to the
+// peers' fetches, and that the text of unreadable rows is not passed on at all.
+func TestLargeRowsAreNotSentInDatagrams(t *testing.T) {
+	server, store := startStore(t)
+	w := newTestWatcher(t, store)
+	read := func() {
+		t.Helper()
+		if err := w.ReadServers(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server.Put("servers", "1", rowOf(1, 0))
+	read()
+	base := w.Roster().Revision
+	server.Put("servers", "odd", bytes.Repeat([]byte("["), 60_000))
+	server.Put("servers", "2", rowOf(2, 0))
+	read()
+	if c := w.Changes(base); c == nil || len(c.Servers["2"]) == 0 || len(c.Servers["odd"]) > 0 {
+		t.Errorf("changes with an unreadable row: got %v, want the row of server 2 and an empty one", c)
+	}
+	large := slices.Concat(rowOf(3, 0)[:len(rowOf(3, 0))-1], []byte(`,"note":"`), bytes.Repeat([]byte("x"), 60_000), []byte(`"}`))
+	base = w.Roster().Revision
+	server.Put("servers", "3", large)
+	read()
+	if len(w.Roster().Servers()) != 3 {
+		t.Fatalf("servers: got %v, want 3", w.Roster().Servers())
+	}
+	if c := w.Changes(base); c != nil {
+		t.Errorf("changes of more than a datagram: got %d bytes, want none", len(c.Servers["3"]))
+	}
+	if s := w.StateFor(&news.StateRequest{Revision: base}); s.Changes == nil || len(s.Changes.Servers["3"]) != len(large) {
+		t.Error("the state for a peer lacks the large row")
+	}
+}
