ratelimit: the reports of one message are bounded

At most 30 go into one message, in random order. TestReportsStayWithinTheirNumber sees all 200 in 100 messages.

--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -141,7 +142,7 @@
 		return
 	}
 	d.gossipAt = now.Add(gossipPeriod)
-	reports := d.limits.Reports(now)
+	reports := d.limits.Reports(now, 9)
 	for other, o := range f.daemons {
 		if other == self || o.down || o.group != d.group || f.random.Float64() < f.script.DatagramLoss {
 			continue
@@ -238,7 +239,7 @@
 		t.Error("the statement of an unlisted server was recorded")
 	}
 	l.Sync(roster.New(1, []roster.Server{limitedServer}))
-	if learn(false, 0, 0) || len(l.Reports(now)) > 0 {
+	if learn(false, 0, 0) || len(l.Reports(now, 9)) > 0 {
 		t.Error("a server without a limit was recorded")
 	}
 	if !learn(true, 2, time.Second) || l.Count() != 1 {
@@ -259,10 +260,10 @@
 	if !learn(false, 0, 0) || !l.Allows(now, key) || l.Count() != 0 {
 		t.Error("the end of the limit was not recorded")
 	}
-	if reports := l.Reports(now.Add(time.Second)); len(reports) != 1 || reports[0].Limited || reports[0].AgeMillis != 1000 {
+	if reports := l.Reports(now.Add(time.Second), 9); len(reports) != 1 || reports[0].Limited || reports[0].AgeMillis != 1000 {
 		t.Errorf("reports after the end of the limit: got %+v", reports)
 	}
-	if reports := l.Reports(now.Add(time.Minute)); len(reports) != 0 {
+	if reports := l.Reports(now.Add(time.Minute), 9); len(reports) != 0 {
 		t.Errorf("reports a minute after the end of the limit: got %+v, want none", reports)
 	}
 	l.Sync(roster.New(2, nil))
@@ -271,6 +272,31 @@
 	}
 }
 
+func TestReportsStayWithinTheirNumber(t *testing.T) {
+	l, now := New(), time.Unix(1000, 0)
+	var servers []roster.Server
+	for n := range 200 {
+		servers = append(servers, roster.Server{ID: ident.ServerID(strconv.Itoa(n))})
+	}
+	l.Sync(roster.New(1, servers))
+	for i := range servers {
+		l.Learn(now, servers[i].Key(), Statement{Limited: true, PerSecond: 1, At: now})
+	}
+	reported := map[ident.ServerID]bool{}
+	for range 100 {
+		reports := l.Reports(now, 30)
+		if len(reports) != 30 {
+			t.Fatalf("got %d reports, want 30", len(reports))
+		}
+		for _, r := range reports {
+			reported[r.ID] = true
+		}
+	}
+	if len(reported) != len(servers) {
+		t.Errorf("%d of %d servers were reported in 100 messages", len(reported), len(servers))
+	}
+}
+
 func TestInvalidReportsAreIgnored(t *testing.T) {
 	l, now := New(), time.Unix(1000, 0)
 	l.Sync(roster.New(1, []roster.Server{limitedServer}))
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -207,12 +207,16 @@
 	}
 }
 
-// Reports returns the statements that other daemons should know, in no particular order.
-func (l *Limits) Reports(now time.Time) []Report {
+// Reports returns statements that other daemons should know, at most limit of them. The order is
+// random, so that calls with more statements than that return others each time.
+func (l *Limits) Reports(now time.Time, limit int) []Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []Report
 	for key, s := range l.servers {
+		if len(out) == limit {
+			break
+		}
 		age := max(0, now.Sub(s.At))
 		if !s.Limited && age > withdrawnReportTime {
 			continue
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -23,6 +23,8 @@
 	maxReportAge = 700 * time.Millisecond
 	// maxReports is the maximum number of servers reported in one message.
 	maxReports = 40
+	// maxLimitReports is the maximum number of servers whose limits are reported in one message.
+	maxLimitReports = 30
 	// crossZonePeriod is the time between two messages with versions to the other zones, and
 	// gatewaysPerZone the number of daemons in each of those zones that receive them.
 	crossZonePeriod = time.Second
@@ -74,7 +76,7 @@
 	m.Reports = e.tracker.Reports(now, maxReportAge, maxReports)
 	m.Losses = e.tracker.LossReports(now)
 	m.Changes = e.watcher.Changes(e.changesBase(now, m.Revision))
-	m.Limits = e.limits.Reports(now)
+	m.Limits = e.limits.Reports(now, maxLimitReports)
 	e.updateLimitShares(now)
 	e.transport.Send(m, addresses(e.members.Peers()))
 	if now.Sub(e.ownersCheckedAt) >= ownerCheckPeriod {
@@ -129,7 +131,7 @@
 		return
 	}
 	m := e.message(now)
-	m.Limits = e.limits.Reports(now)
+	m.Limits = e.limits.Reports(now, maxLimitReports)
 	e.transport.Send(m, addresses(e.members.Gateways(gatewaysPerZone)))
 }
 
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -50,7 +50,7 @@
 	now := time.Now()
 	m := e.message(now)
 	m.Relay = true
-	m.Limits = e.limits.Reports(now)
+	m.Limits = e.limits.Reports(now, maxLimitReports)
 	e.transport.Send(m, addresses(e.members.Gateways(gatewaysPerZone)))
 }
 
