--- a/cmd/bilberrymux/config.go
+++ b/cmd/bilberrymux/config.go
@@ -24,27 +24,6 @@
   bilberrymux check examples/kalinis/config.json
   bilberrymux check --settings vm.json`
 
-// checkEdge validates a settings or configuration file for the users' platform, without a daemon.
-func (c *checkCommand) checkEdge() error {
-	if c.EdgeSettings {
-		if _, err := settings.LoadEdge(c.Args.File); err != nil {
-			return &exitError{exitUsage, err}
-		}
-		fmt.Println("ok")
-		return nil
-	}
-	body, err := os.ReadFile(c.Args.File)
-	if err != nil {
-		return &exitError{exitUsage, err}
-	}
-	cfg, err := platform.DecodeConfig(body)
-	if err != nil {
-		return &exitError{exitUsage, err}
-	}
-	fmt.Printf("ok: version %d, %d services, %d routes\n", cfg.Version, len(cfg.Services), len(cfg.Routes))
-	return nil
-}
-
 // checkCommand validates a settings or configuration file without a daemon.
 type checkCommand struct {
 	Settings     bool `long:"settings" description:"the file holds settings"`
@@ -57,34 +36,66 @@
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
-	if c.EdgeSettings || c.EdgeConfig {
-		return c.checkEdge()
+	check := checkSharedConfig
+	switch {
+	case c.EdgeSettings:
+		check = checkEdgeSettings
+	case c.EdgeConfig:
+		check = checkEdgeConfig
+	case c.Settings:
+		check = checkSettings
+	}
+	summary, err := check(c.Args.File)
+	if err != nil {
+		return &exitError{exitUsage, err}
 	}
-	if c.Settings {
-		s, err := settings.Load(c.Args.File)
-		if err == nil {
-			err = s.Check()
-		}
-		if err != nil {
-			return &exitError{exitUsage, err}
-		}
-		fmt.Println("ok")
-		return nil
+	fmt.Println("ok" + summary)
+	return nil
+}
+
+// checkSettings validates the settings of a process. Like the other checks it returns what to print
+// about a valid file.
+func checkSettings(path string) (summary string, err error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return "", err
 	}
-	body, err := os.ReadFile(c.Args.File)
+	return "", s.Check()
+}
+
+// checkEdgeSettings validates the settings of a daemon on the users' platform.
+func checkEdgeSettings(path string) (summary string, err error) {
+	_, err = settings.LoadEdge(path)
+	return "", err
+}
+
+// checkEdgeConfig validates a configuration as the platform's operators write it.
+func checkEdgeConfig(path string) (summary string, err error) {
+	body, err := os.ReadFile(path)
 	if err != nil {
-		return &exitError{exitUsage, err}
+		return "", err
 	}
-	patch, err := config.ParsePatch(body)
-	if err == nil {
-		_, err = config.Empty().Apply(patch)
+	cfg, err := platform.DecodeConfig(body)
+	if err != nil {
+		return "", err
 	}
+	return fmt.Sprintf(": version %d, %d services, %d routes", cfg.Version, len(cfg.Services), len(cfg.Routes)), nil
+}
+
+// checkSharedConfig validates a shared configuration as a patch of the empty one.
+func checkSharedConfig(path string) (summary string, err error) {
+	body, err := os.ReadFile(path)
 	if err != nil {
-		return &exitError{exitUsage, err}
+		return "", err
 	}
-	fmt.Printf("ok: %d services, %d routes, %d organisations\n",
-		len(patch.Services), len(patch.Routes), len(patch.Organisations))
-	return nil
+	patch, err := config.ParsePatch(body)
+	if err != nil {
+		return "", err
+	}
+	if _, err := config.Empty().Apply(patch); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf(": %d services, %d routes, %d organisations", len(patch.Services), len(patch.Routes), len(patch.Organisations)), nil
 }
 
 const patchHelp = `Submit a JSON merge patch (RFC 7396) of the shared configuration, made against
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -146,6 +146,12 @@
 	s.tokens = min(s.tokens+s.rate()*elapsed.Seconds(), 1+s.rate()*burstTime.Seconds())
 }
 
+// hasToken reports whether a request may be sent now.
+func (s *server) hasToken(now time.Time) bool {
+	s.refill(now)
+	return s.tokens >= 1
+}
+
 // Allows reports whether a request may be sent to the server now.
 func (l *Limits) Allows(now time.Time, key roster.Key) bool {
 	if l.count.Load() == 0 {
@@ -154,11 +160,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[key]
-	if s == nil || !s.Limited {
-		return true
-	}
-	s.refill(now)
-	return s.tokens >= 1
+	return s == nil || !s.Limited || s.hasToken(now)
 }
 
 // Due reports whether a request should be sent to the server now because its last statement is
@@ -170,11 +172,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[key]
-	if s == nil || !s.Limited || now.Sub(s.At) < refreshTime {
-		return false
-	}
-	s.refill(now)
-	return s.tokens >= 1
+	return s != nil && s.Limited && now.Sub(s.At) >= refreshTime && s.hasToken(now)
 }
 
 // Take accounts for a request that is sent to the server.
--- /dev/null
+++ b/io/discovery/config.go
@@ -0,0 +1,102 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bilberrymux/core/event"
+	"bilberrymux/platform"
+)
+
+// applyConfig decodes a configuration and activates it if its version is newer than
+// that of the active one. The store confirmed the value at the time at.
+func (w *Watcher) applyConfig(value []byte, at time.Time, source string) {
+	c, err := platform.DecodeConfig(value)
+	if err != nil {
+		w.options.Count("config.unreadable")
+		w.options.Log.WithError(err).WithField("source", source).Warn("could not decode the configuration")
+		return
+	}
+	w.mu.Lock()
+	before := w.catalog.Load()
+	if at.After(w.configConfirmedAt) && c.Version >= before.Version {
+		w.configConfirmedAt = at
+	}
+	if c.Version <= before.Version {
+		w.mu.Unlock()
+		return
+	}
+	w.configValue = value
+	w.catalog.Store(c)
+	w.mu.Unlock()
+	w.options.Log.WithFields(logrus.Fields{
+		"version": c.Version, "before": before.Version, "routes": len(c.Routes), "source": source,
+	}).Info(event.ConfigApplied)
+	w.options.OnConfig(c)
+}
+
+// ReadConfig reads the configuration from the store and applies it.
+func (w *Watcher) ReadConfig(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	started := time.Now()
+	rows, version, err := w.options.Store.Rows(ctx, platform.TableConfig)
+	if err != nil {
+		return fmt.Errorf("discovery: configuration: %w", err)
+	}
+	w.applyConfigRows(rows, version, started)
+	return nil
+}
+
+// applyConfigRows applies the configuration contained in rows of the store, if any,
+// and records that the store was read at a version by a call that was started at the
+// given time.
+func (w *Watcher) applyConfigRows(rows []platform.Row, version uint64, started time.Time) {
+	now := time.Now()
+	for _, r := range rows {
+		if r.Key == platform.KeyConfig && !r.Deleted {
+			w.options.Log.WithFields(logrus.Fields{
+				"rowVersion": r.Version, "revision": version, "tookMillis": now.Sub(started).Milliseconds(),
+			}).Info(event.ConfigRead)
+			w.applyConfig(r.Value, now, sourceStore)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.configConfirmedAt, w.configReadAt = later(w.configConfirmedAt, now), now
+	w.feedFrom = max(w.feedFrom, version)
+}
+
+// configCallTimeout limits the duration of a call for changes of the configuration, beyond
+// the time for which the store may hold it open.
+const configCallTimeout = 1200 * time.Millisecond
+
+// pollConfig makes one call for changes of the configuration, which the store may hold
+// open for the time wait until there is a change, and applies the result. It reads the
+// whole configuration if no version to start from is known or if the store no longer has
+// the changes since that version.
+func (w *Watcher) pollConfig(ctx context.Context, wait time.Duration) error {
+	w.mu.Lock()
+	from := w.feedFrom
+	w.mu.Unlock()
+	if from == 0 {
+		return w.ReadConfig(ctx)
+	}
+	waiting, cancel := context.WithTimeout(ctx, wait+configCallTimeout)
+	defer cancel()
+	started := time.Now()
+	rows, version, err := w.options.Store.Feed(waiting, platform.TableConfig, from, wait)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		w.options.Log.WithField("version", from).Warn("the store no longer has the changes since this version, reading the configuration again")
+		return w.ReadConfig(ctx)
+	}
+	if err != nil {
+		return fmt.Errorf("discovery: feed: %w", err)
+	}
+	w.applyConfigRows(rows, version, started)
+	return nil
+}
