ratelimit: statements don't become newer on their way through daemons

Found while reading the diff: ages were cut to whole milliseconds, so that a statement that daemons tell each other stayed as young as its last message, and an old limit could outlive its end. It is the fault that TestRelayedConfirmationAgesGrow guards against in discovery.

--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -31,7 +31,8 @@
 	Limited     bool           `cbor:"3,keyasint,omitempty"`
 	// PerSecond is the limit in requests per second.
 	PerSecond float64 `cbor:"4,keyasint,omitempty"`
-	// AgeMillis is the age of the statement in milliseconds.
+	// AgeMillis is the age of the statement in milliseconds. It is rounded up to the next
+	// whole number, so that statements don't become newer on their way through daemons.
 	AgeMillis uint32 `cbor:"5,keyasint,omitempty"`
 }
 
@@ -221,7 +222,7 @@
 		}
 		out = append(out, Report{
 			ID: key.ID, StartMillis: key.StartMillis, Limited: s.Limited, PerSecond: s.PerSecond,
-			AgeMillis: uint32(min(age.Milliseconds(), math.MaxUint32)),
+			AgeMillis: uint32(min(age.Milliseconds()+1, math.MaxUint32)),
 		})
 	}
 	return out
--- a/io/discovery/run.go
+++ b/io/discovery/run.go
@@ -69,6 +69,7 @@
 		if err != nil && ctx.Err() == nil {
 			w.options.Log.WithError(err).Warn("could not follow the configuration")
 		}
+		// A store that answers at once without changes must not be called all the time.
 		if time.Since(now) < ageCheckInterval {
 			periodic.Sleep(ctx, ageCheckInterval)
 		}
