--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -260,7 +260,7 @@
 	if !learn(false, 0, 0) || !l.Allows(now, key) || l.Count() != 0 {
 		t.Error("the end of the limit was not recorded")
 	}
-	if reports := l.Reports(now.Add(time.Second), 9); len(reports) != 1 || reports[0].Limited || reports[0].AgeMillis != 1001 {
+	if reports := l.Reports(now.Add(time.Second), 9); len(reports) != 1 || reports[0].Limited || reports[0].AgeMillis != 1002 {
 		t.Errorf("reports after the end of the limit: got %+v", reports)
 	}
 	if reports := l.Reports(now.Add(time.Minute), 9); len(reports) != 0 {
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -31,8 +31,8 @@
 	Limited     bool           `cbor:"3,keyasint,omitempty"`
 	// PerSecond is the limit in requests per second.
 	PerSecond float64 `cbor:"4,keyasint,omitempty"`
-	// AgeMillis is the age of the statement in milliseconds. It is rounded up to the next
-	// whole number, so that statements don't become newer on their way through daemons.
+	// AgeMillis is the age of the statement in milliseconds when the report arrives, rounded
+	// up, so that statements don't become newer on their way through daemons.
 	AgeMillis uint32 `cbor:"5,keyasint,omitempty"`
 }
 
@@ -47,6 +47,8 @@
 	refreshTime = 2 * time.Second
 	// withdrawnReportTime is how long the end of a limit is reported to other daemons.
 	withdrawnReportTime = 5 * time.Second
+	// transitTime is the time that is assumed for a message to another daemon.
+	transitTime = time.Millisecond
 	// noticedChange is the relative change of a limit from which it counts as changed.
 	noticedChange = 0.1
 )
@@ -222,7 +224,7 @@
 		}
 		out = append(out, Report{
 			ID: key.ID, StartMillis: key.StartMillis, Limited: s.Limited, PerSecond: s.PerSecond,
-			AgeMillis: uint32(min(age.Milliseconds()+1, math.MaxUint32)),
+			AgeMillis: uint32(min((age+transitTime).Milliseconds()+1, math.MaxUint32)),
 		})
 	}
 	return out
