--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -101,13 +101,16 @@
 	return f, nil
 }
 
+// maxDaemons is the greatest number of daemons of a case.
+const maxDaemons = 44
+
 // freePrefix returns the first three bytes of a loopback network whose addresses are free at the
 // daemons' ports.
 func freePrefix() (string, error) {
 	for range 50 {
 		prefix := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), 1+rand.IntN(250))
 		free := true
-		for n := 1; n <= 8; n++ {
+		for n := 1; n <= maxDaemons; n++ {
 			for _, port := range []int{portCallers, portReady, portLocate, portPeers, portMetrics} {
 				l, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", prefix, n, port))
 				if err != nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -12,6 +12,7 @@
 // broken, and an error if the case could not run.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"uploads": uploadsCase,
+	"kills":   killsCase,
 }
 
 // Exit codes of a case.
