review: the uploads of case 1 stay below the link

Each upload is sent at 50 MB/s, so that two at a time stay below 1,000 Mbit/s and the excuse "Choked" can't apply. Nothing is mended.

--- a/review/harness/uploads.go
+++ b/review/harness/uploads.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -136,8 +137,29 @@
 const (
 	uploadMB     = 60
 	uploadsAlone = 6
+	// uploadRate is the rate of one upload in bytes per second. Two at a time stay below the daemon's
+	// link of 1,000 Mbit/s, so that no packets wait there.
+	uploadRate = 50_000_000
+	// uploadChunk is the most that is sent at once, in bytes.
+	uploadChunk = 64 << 10
 )
 
+// pacedReader reads at no more than uploadRate.
+type pacedReader struct {
+	source io.Reader
+	begin  time.Time
+	read   int64
+}
+
+// Read implements io.Reader.
+func (r *pacedReader) Read(p []byte) (int, error) {
+	due := r.begin.Add(time.Duration(r.read) * time.Second / uploadRate)
+	time.Sleep(time.Until(due))
+	n, err := r.source.Read(p[:min(len(p), uploadChunk)])
+	r.read += int64(n)
+	return n, err
+}
+
 // uploadsCase sends uploads of a size below max_body_bytes, without the disruption one after the
 // other, with it two at a time.
 func uploadsCase(f *fleet, trouble bool) (bool, error) {
@@ -157,7 +179,7 @@
 	time.Sleep(3 * time.Second)
 	text := strings.Repeat("0123456789abcdef", uploadMB<<20/16)
 	upload := func() {
-		decks.do(freshTransport(), d.at(portCallers), http.MethodPost, "/deck/lecture", strings.NewReader(text), int64(len(text)))
+		decks.do(freshTransport(), d.at(portCallers), http.MethodPost, "/deck/lecture", &pacedReader{source: strings.NewReader(text), begin: time.Now()}, int64(len(text)))
 	}
 	for range uploadsAlone {
 		var wg sync.WaitGroup
