discovery: a daemon that lacks removals sends its whole list (DRAIN)

Cause: a daemon that has just started knows no removals from before its first list, but answered peers that asked for the changes since an older revision as if it did. They kept the removed rows, raised their revision, and confirmed each other's wrong lists.

Change: a list knows since which revision its removals are complete; for older bases it sends the whole list, and the receiver drops what is not in it. The same on related paths: datagrams with changes; a read of the store is applied as a whole list under one lock (its difference was computed before changes of a peer could come in between); the kept removals are bounded.

TestRemovalsBeforePeerStartedAreLearned fails on (the receiver lists the removed server). TestChangesUpdatePeer is replaced by the stricter TestChangesUpdatePeers: three daemons, exchanges in all directions, restarts.

--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -63,9 +63,6 @@
 	// from the store. Only the ages of these are sent to peers: an age that is
 	// relayed loses the transit time of each message and would never grow.
 	configReadAt, serversReadAt time.Time
-	// listRevision is the revision of the list, which is the version of the store at which
-	// the list was read.
-	listRevision uint64
 	// readFromStore reports whether this daemon itself read the current list.
 	readFromStore bool
 	// feedFrom is the version of the store after which the next call of the
@@ -110,16 +107,16 @@
 // of the changes. Changes that are older than the list only confirm it.
 func (w *Watcher) applyServers(now time.Time, c *news.Changes, at time.Time, source string) bool {
 	w.mu.Lock()
-	if c.BaseRevision > w.listRevision {
+	if c.BaseRevision > w.rows.revision {
 		w.mu.Unlock()
 		return false
 	}
 	w.serversConfirmedAt = later(w.serversConfirmedAt, at)
-	if c.Revision < w.listRevision {
+	if c.Revision < w.rows.revision {
 		w.mu.Unlock()
 		return true
 	}
-	w.listRevision, w.readFromStore = c.Revision, source == sourceStore
+	w.readFromStore = source == sourceStore
 	decodeErrors := w.rows.apply(c)
 	before := w.roster.Load()
 	next := roster.New(c.Revision, w.rows.list())
@@ -202,11 +199,8 @@
 	if err != nil {
 		return fmt.Errorf("discovery: servers: %w", err)
 	}
-	w.mu.Lock()
-	c := w.rows.difference(rows, revision)
-	w.mu.Unlock()
 	now := time.Now()
-	w.applyServers(now, c, now, sourceStore)
+	w.applyServers(now, wholeList(rows, revision), now, sourceStore)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.serversReadAt = now
--- a/io/discovery/peers.go
+++ b/io/discovery/peers.go
@@ -33,7 +33,7 @@
 	if m.Revision == revision && revision > 0 {
 		w.serversConfirmedAt = later(w.serversConfirmedAt, now.Add(-millis(m.RevisionAgeMillis)))
 	}
-	if m.Version <= version && m.Revision <= w.listRevision {
+	if m.Version <= version && m.Revision <= w.rows.revision {
 		return nil
 	}
 	if m.Version > w.peerVersion {
@@ -43,7 +43,7 @@
 	if !sameZone && !late && age(now, w.serversConfirmedAt) < w.listSchedule.MaxAge(crossZoneReaderRank) {
 		return nil
 	}
-	return &news.StateRequest{Version: version, Revision: w.listRevision, Members: w.listRevision == 0}
+	return &news.StateRequest{Version: version, Revision: w.rows.revision, Members: w.rows.revision == 0}
 }
 
 // crossZoneConfigDelay is the time after the first announcement of a configuration
@@ -78,23 +78,23 @@
 	if s.Version > r.Version {
 		s.Config = w.configValue
 	}
-	if w.listRevision > r.Revision {
-		s.Changes = w.rows.since(r.Revision, w.listRevision)
+	if w.rows.revision > r.Revision {
+		s.Changes = w.rows.since(r.Revision)
 	}
 	return s
 }
 
 // Changes returns the changes of the list after the revision base, to be sent in a
-// datagram. It returns nil if there are none, if they don't fit a datagram, or if
-// another daemon read the list.
+// datagram. It returns nil if there are none, if they are unknown or don't fit a datagram, or
+// if another daemon read the list.
 func (w *Watcher) Changes(base uint64) *news.Changes {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.readFromStore {
 		return nil
 	}
-	c := w.rows.since(base, w.listRevision)
-	if len(c.Servers)+len(c.Removed) == 0 || !fitsDatagram(c) {
+	c := w.rows.since(base)
+	if c.Whole() || len(c.Servers)+len(c.Removed) == 0 || !fitsDatagram(c) {
 		return nil
 	}
 	return c
@@ -119,15 +119,24 @@
 	}
 	w.mu.Unlock()
 	if s.Changes != nil {
-		w.ApplyChanges(now, s.Changes, s.RevisionAgeMillis, from)
+		w.applyPeerChanges(now, s.Changes, s.RevisionAgeMillis, source)
 	}
 }
 
-// ApplyChanges updates the list with changes received from a peer. The peer read
-// them from the store ageMillis milliseconds ago. Changes whose base is newer than
-// the local list are counted and dropped.
+// ApplyChanges updates the list with changes from a peer's datagram. The peer read them from
+// the store ageMillis milliseconds ago. Changes whose base is newer than the local list, and whole
+// lists, which datagrams don't carry, are counted and dropped.
 func (w *Watcher) ApplyChanges(now time.Time, c *news.Changes, ageMillis uint32, from ident.VMID) {
-	if !w.applyServers(now, c, now.Add(-millis(ageMillis)), "peer "+string(from)) {
+	if c.Whole() {
+		w.options.Count("servers.gap")
+		return
+	}
+	w.applyPeerChanges(now, c, ageMillis, "peer "+string(from))
+}
+
+// applyPeerChanges applies changes from a peer, and counts those whose base is newer than the list.
+func (w *Watcher) applyPeerChanges(now time.Time, c *news.Changes, ageMillis uint32, source string) {
+	if !w.applyServers(now, c, now.Add(-millis(ageMillis)), source) {
 		w.options.Count("servers.gap")
 	}
 }
--- a/io/discovery/rows.go
+++ b/io/discovery/rows.go
@@ -1,6 +1,9 @@
 package discovery
 
 import (
+	"maps"
+	"slices"
+
 	"bilberrymux/core/roster"
 	"bilberrymux/io/news"
 	"bilberrymux/platform"
@@ -14,6 +17,11 @@
 	// removed maps the keys of removed rows to the revisions at which they were first
 	// missing.
 	removed map[string]uint64
+	// revision is the version of the store at which the rows were read, or 0 if they never were.
+	revision uint64
+	// completeSince is the revision from which on all removals are known. A daemon does not know
+	// those before its first list.
+	completeSince uint64
 }
 
 // row is the row of one server. If the value can be decoded, valid is true and
@@ -22,7 +30,7 @@
 	value  []byte
 	server roster.Server
 	valid  bool
-	// revision is the revision of the list at which the last change was seen.
+	// revision is the revision of the set at which the last change was seen.
 	revision uint64
 }
 
@@ -41,31 +49,28 @@
 	return r.valid && server == r.server
 }
 
-// difference returns the changes from the current rows to those that were read
-// from the store at a revision.
-func (s *rowSet) difference(read []platform.Row, revision uint64) *news.Changes {
-	c := &news.Changes{BaseRevision: 0, Revision: revision, Servers: map[string][]byte{}}
-	listed := make(map[string]bool, len(read))
-	for _, r := range read {
-		listed[r.Key] = true
-		old, known := s.rows[r.Key]
-		if !known || !old.sameServer(r.Value, r.Key) {
-			c.Servers[r.Key] = r.Value
-		}
-	}
-	for key := range s.rows {
-		if !listed[key] {
-			c.Removed = append(c.Removed, key)
-		}
+// wholeList returns all rows of the store as of a revision.
+func wholeList(rows []platform.Row, revision uint64) *news.Changes {
+	c := &news.Changes{Revision: revision, Servers: make(map[string][]byte, len(rows))}
+	for _, r := range rows {
+		c.Servers[r.Key] = r.Value
 	}
 	return c
 }
 
-// apply applies changes and returns the decoding errors of rows that can't be
-// decoded, by key.
+// apply applies changes whose base is not newer than the set. It returns the decoding errors
+// of rows that can't be decoded, by key.
 func (s *rowSet) apply(c *news.Changes) map[string]error {
+	if s.revision == 0 {
+		s.completeSince = c.Revision
+	}
+	s.revision = c.Revision
 	decodeErrors := map[string]error{}
 	for key, value := range c.Servers {
+		old, known := s.rows[key]
+		if known && old.sameServer(value, key) {
+			continue
+		}
 		r := row{value: value, revision: c.Revision}
 		server, err := platform.DecodeServer(key, value)
 		if err != nil {
@@ -78,22 +83,56 @@
 		delete(s.removed, key)
 	}
 	for _, key := range c.Removed {
-		if _, had := s.rows[key]; had {
-			delete(s.rows, key)
-			s.removed[key] = c.Revision
+		s.remove(key)
+	}
+	if c.Whole() {
+		for key := range s.rows {
+			if _, listed := c.Servers[key]; !listed {
+				s.remove(key)
+			}
 		}
 	}
+	s.forgetRemovals()
 	return decodeErrors
 }
 
-// since returns the changes after the revision base. revision is the current one.
-func (s *rowSet) since(base, revision uint64) *news.Changes {
-	c := &news.Changes{BaseRevision: base, Revision: revision, Servers: map[string][]byte{}}
+// remove removes a row, if there is one, as of the current revision.
+func (s *rowSet) remove(key string) {
+	if _, had := s.rows[key]; had {
+		delete(s.rows, key)
+		s.removed[key] = s.revision
+	}
+}
+
+// maxRemovals is the number of removals that are kept, or the number of rows if that is greater.
+const maxRemovals = 1000
+
+// forgetRemovals drops the older half of the removals when there are too many. Peers at older
+// revisions then get the whole list.
+func (s *rowSet) forgetRemovals() {
+	if len(s.removed) <= max(maxRemovals, len(s.rows)) {
+		return
+	}
+	revisions := slices.Sorted(maps.Values(s.removed))
+	s.completeSince = max(s.completeSince, revisions[len(revisions)/2])
+	maps.DeleteFunc(s.removed, func(_ string, removedAt uint64) bool { return removedAt <= s.completeSince })
+}
+
+// since returns the changes after the revision base. It returns the whole list if removals after base
+// may be unknown.
+func (s *rowSet) since(base uint64) *news.Changes {
+	if base < s.completeSince {
+		base = 0
+	}
+	c := &news.Changes{BaseRevision: base, Revision: s.revision, Servers: map[string][]byte{}}
 	for key, r := range s.rows {
 		if r.revision > base {
 			c.Servers[key] = r.value
 		}
 	}
+	if c.Whole() {
+		return c
+	}
 	for key, removedAt := range s.removed {
 		if removedAt > base {
 			c.Removed = append(c.Removed, key)
--- a/io/discovery/rows_test.go
+++ b/io/discovery/rows_test.go
@@ -7,10 +7,12 @@
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"bilberrymux/core/roster"
 	"bilberrymux/io/news"
 	"bilberrymux/platform"
 )
@@ -20,56 +22,122 @@
 	return fmt.Appendf(nil, `{"service":"s","address":"10.0.0.%d:1","zone":"z","version":"v","capacity":%d,"state":"ready","warmup_left_s":0,"sequence":%d,"born":1}`, n, state+1, state)
 }
 
-// TestChangesUpdatePeer checks that a peer at any earlier revision has the same servers
-// as the reader after it applies the changes since that revision, for random sequences
-// of writes, deletions and updates.
-func TestChangesUpdatePeer(t *testing.T) {
+// TestChangesUpdatePeers checks that each daemon's list is that of the store at the list's
+// revision, for random sequences of writes and deletions, of reads of the store, of changes that
+// daemons take from each other, and of restarts of daemons.
+func TestChangesUpdatePeers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		reader, peer := newRowSet(), newRowSet()
-		store := map[string][]byte{}
-		peerAt := uint64(0)
-		version := uint64(0)
-		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			version += uint64(rapid.IntRange(1, 3).Draw(t, "step"))
-			for range rapid.IntRange(0, 3).Draw(t, "writes") {
+		daemons := []rowSet{newRowSet(), newRowSet(), newRowSet()}
+		drawDaemon := func(label string) *rowSet {
+			return &daemons[rapid.IntRange(0, len(daemons)-1).Draw(t, label)]
+		}
+		store, version := map[string][]byte{}, uint64(1)
+		history := map[uint64]map[string][]byte{version: maps.Clone(store)}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"write", "delete", "read", "exchange", "exchange", "restart"}).Draw(t, "step") {
+			case "write":
 				n := rapid.IntRange(0, 5).Draw(t, "server")
-				if rapid.Bool().Draw(t, "delete") {
-					delete(store, fmt.Sprint(n))
-				} else {
-					store[fmt.Sprint(n)] = rowOf(n, rapid.IntRange(0, 3).Draw(t, "state"))
+				store[fmt.Sprint(n)] = rowOf(n, rapid.IntRange(0, 3).Draw(t, "state"))
+			case "delete":
+				delete(store, fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "server")))
+			case "read":
+				drawDaemon("reader").apply(wholeList(storedRows(store), version))
+			case "exchange":
+				from, to := drawDaemon("from"), drawDaemon("to")
+				if from.revision > to.revision {
+					to.apply(from.since(to.revision))
 				}
+			case "restart":
+				*drawDaemon("restarted") = newRowSet()
 			}
-			var rows []platform.Row
-			for _, key := range slices.Sorted(maps.Keys(store)) {
-				rows = append(rows, platform.Row{Key: key, Value: store[key]})
-			}
-			reader.apply(reader.difference(rows, version))
-			if rapid.Bool().Draw(t, "update peer") {
-				peer.apply(reader.since(peerAt, version))
-				peerAt = version
+			version++
+			history[version] = maps.Clone(store)
+			for i := range daemons {
+				want := newRowSet()
+				want.apply(wholeList(storedRows(history[daemons[i].revision]), daemons[i].revision))
+				if diff := cmp.Diff(serversOf(&want), serversOf(&daemons[i])); diff != "" {
+					t.Fatalf("daemon %d at revision %d (-store +daemon):\n%s", i, daemons[i].revision, diff)
+				}
 			}
 		}
-		peer.apply(reader.since(peerAt, version))
-		want, got := map[string]any{}, map[string]any{}
-		for k, r := range reader.rows {
-			want[k] = r.server
-		}
-		for k, r := range peer.rows {
-			got[k] = r.server
+	})
+}
+
+// storedRows returns the rows of a store, sorted by key.
+func storedRows(store map[string][]byte) []platform.Row {
+	var rows []platform.Row
+	for _, key := range slices.Sorted(maps.Keys(store)) {
+		rows = append(rows, platform.Row{Key: key, Value: store[key]})
+	}
+	return rows
+}
+
+// serversOf returns the servers of a set by key.
+func serversOf(s *rowSet) map[string]roster.Server {
+	out := map[string]roster.Server{}
+	for key, r := range s.rows {
+		out[key] = r.server
+	}
+	return out
+}
+
+// TestRemovalsBeforePeerStartedAreLearned guards against lists that keep servers which left before
+// the daemon that sends the changes had started.
+func TestRemovalsBeforePeerStartedAreLearned(t *testing.T) {
+	server, store := startStore(t)
+	survivor, started := newTestWatcher(t, store), newTestWatcher(t, store)
+	read := func(w *Watcher) {
+		t.Helper()
+		if err := w.ReadServers(context.Background()); err != nil {
+			t.Fatal(err)
 		}
-		if diff := cmp.Diff(want, got); diff != "" {
-			t.Fatal(diff)
+	}
+	server.Put("servers", "1", rowOf(1, 0))
+	server.Put("servers", "2", rowOf(2, 0))
+	read(survivor)
+	base := survivor.Roster().Revision
+	server.Delete("servers", "1")
+	read(started)
+	server.Put("servers", "3", rowOf(3, 0))
+	read(started)
+	if c := started.Changes(base); c != nil {
+		t.Errorf("changes for a datagram from a revision before the daemon's first list: got %+v, want nil", c)
+	}
+	survivor.ApplyState(time.Now(), started.StateFor(&news.StateRequest{Revision: base}), "started")
+	if diff := cmp.Diff(started.Roster().Servers(), survivor.Roster().Servers()); diff != "" {
+		t.Errorf("servers (-sender +receiver):\n%s", diff)
+	}
+}
+
+// TestForgottenRemovalsAreLearned checks that a peer learns of removals which the sender has
+// forgotten, since it keeps a limited number.
+func TestForgottenRemovalsAreLearned(t *testing.T) {
+	reader, peer := newRowSet(), newRowSet()
+	version := uint64(1)
+	for n := range 3 * maxRemovals {
+		version++
+		reader.apply(wholeList([]platform.Row{{Key: fmt.Sprint(n), Value: rowOf(n%250, 0)}}, version))
+		if n == 0 {
+			peer.apply(reader.since(0))
 		}
-	})
+	}
+	if len(reader.removed) > maxRemovals {
+		t.Errorf("removals that are kept: got %d, want at most %d", len(reader.removed), maxRemovals)
+	}
+	peer.apply(reader.since(peer.revision))
+	if diff := cmp.Diff(serversOf(&reader), serversOf(&peer)); diff != "" {
+		t.Errorf("servers (-sender +receiver):\n%s", diff)
+	}
 }
 
 // TestRepeatedReportsAreUnchanged checks that a row counts as unchanged if it decodes
 // to the same server, or if neither the old nor the new value can be decoded.
 func TestRepeatedReportsAreUnchanged(t *testing.T) {
 	s := newRowSet()
-	s.apply(s.difference([]platform.Row{{Key: "1", Value: rowOf(1, 0)}, {Key: "odd", Value: []byte("x")}}, 1))
+	s.apply(wholeList([]platform.Row{{Key: "1", Value: rowOf(1, 0)}, {Key: "odd", Value: []byte("x")}}, 1))
 	again := []byte(`{"service":"s","address":"10.0.0.1:1","zone":"z","version":"v2","capacity":1,"state":"ready","warmup_left_s":0,"sequence":99,"born":1}`)
-	c := s.difference([]platform.Row{{Key: "1", Value: again}, {Key: "odd", Value: []byte("y")}}, 2)
+	s.apply(wholeList([]platform.Row{{Key: "1", Value: again}, {Key: "odd", Value: []byte("y")}}, 2))
+	c := s.since(1)
 	if len(c.Servers)+len(c.Removed) != 0 {
 		t.Errorf("changes after a repeated report: got servers %v and removed %v, want none", c.Servers, c.Removed)
 	}
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -51,11 +51,12 @@
 	Limits []ratelimit.Report `cbor:"13,keyasint,omitempty"`
 }
 
-// Changes is the difference between two versions of the list of servers. Rows are
-// encoded as in the platform's store.
+// Changes is the difference between two versions of the list of servers, or a whole list. Rows
+// are encoded as in the platform's store.
 type Changes struct {
 	// BaseRevision is the store version that the changes start from, and Revision the one
-	// that they lead to.
+	// that they lead to. If BaseRevision is 0, this is a whole list: servers that it does not hold
+	// are not registered.
 	BaseRevision uint64 `cbor:"1,keyasint"`
 	Revision     uint64 `cbor:"2,keyasint"`
 	// Servers holds the rows that were added or changed, by key.
@@ -64,6 +65,9 @@
 	Removed []string `cbor:"4,keyasint,omitempty"`
 }
 
+// Whole reports whether these are not changes, but all rows of the list.
+func (c *Changes) Whole() bool { return c.BaseRevision == 0 }
+
 // Crash identifies a request that was running on a server when it crashed.
 type Crash struct {
 	Service     ident.ServiceID   `cbor:"1,keyasint"`
