--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -26,6 +26,10 @@
 	storeProxy  *chaosproxy.Proxy
 	impairments *impairmentLog
 
+	// restarting is held while the daemon is stopped or killed and started again, so that faults
+	// which overlap never start two processes.
+	restarting sync.Mutex
+
 	mu            sync.Mutex
 	cmd           *exec.Cmd
 	exitedChannel chan struct{}
@@ -74,6 +78,8 @@
 
 // kill kills the daemon and starts it again after the downtime.
 func (p *process) kill(downtime time.Duration) error {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
 	defer p.impairments.begin(p.name)()
 	p.signal(syscall.SIGKILL)
 	<-p.exited()
@@ -84,6 +90,8 @@
 // stop asks the daemon to shut down gracefully and starts it again. If the daemon is still running
 // after the grace period, stop kills it and records the impairment.
 func (p *process) stop() error {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
 	p.mu.Lock()
 	p.stopRequests = append(p.stopRequests, time.Now())
 	p.mu.Unlock()
--- a/io/soak/wrong_test.go
+++ b/io/soak/wrong_test.go
@@ -109,7 +109,8 @@
 			grace := time.Duration(s.Bounds.Grace) * time.Second
 			if kind == cutsAtStop {
 				d.waitForRequest(grace / 2)
-				return nil
+				// A regular exit would serve on for a second in a binary with the race detector.
+				return syscall.Kill(os.Getpid(), syscall.SIGKILL)
 			}
 			time.Sleep(grace / 2)
 			return nil
--- a/io/standin/gridfleet/gridfleet.go
+++ b/io/standin/gridfleet/gridfleet.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -64,6 +66,7 @@
 	// Address is the store's address.
 	Address   string
 	stopStore func()
+	addresses *addressBlock
 
 	mu       sync.Mutex
 	version  uint64
@@ -112,12 +115,16 @@
 // Start starts the store and the daemons. It returns an error if one of them does not start,
 // after stopping the others. The caller must call Stop on the fleet.
 func Start(o Options) (*Fleet, error) {
+	addresses, err := reserveAddresses()
+	if err != nil {
+		return nil, err
+	}
 	store, address, stop, err := rowstore.Start(rowstore.Options{Seed: 1})
 	if err != nil {
-		return nil, fmt.Errorf("gridfleet: %w", err)
+		return nil, fmt.Errorf("gridfleet: %w", errors.Join(err, addresses.reservation.Close()))
 	}
 	f := &Fleet{
-		options: o, Store: store, Address: address, stopStore: stop,
+		options: o, Store: store, Address: address, stopStore: stop, addresses: addresses,
 		servers: map[string]*ServerRow{}, stop: make(chan struct{}),
 	}
 	go f.runReports()
@@ -132,16 +139,42 @@
 	return f, nil
 }
 
-// daemonIP returns the loopback address of the n-th daemon of a zone. It depends on the process
-// id, so that deployments in different processes of one machine use different addresses.
-func daemonIP(zone, n int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, (pid/250)%25*10+zone, n+10)
+// addressBlock is a block of loopback addresses that one deployment uses.
+type addressBlock struct {
+	second, third int
+	// reservation keeps other deployments on this machine from using the block.
+	reservation net.Listener
+}
+
+// portReservation is the port that a deployment listens on to reserve its addresses.
+const portReservation = 18600
+
+// zonesPerBlock is the number of values of the third byte that belong to one block.
+const zonesPerBlock = 10
+
+// reserveAddresses reserves a block that no other deployment on this machine uses.
+func reserveAddresses() (*addressBlock, error) {
+	for n := range 250 * 25 {
+		// Processes that start at the same time begin at different blocks.
+		n += os.Getpid()
+		b := &addressBlock{second: 1 + n%250, third: n / 250 % 25 * zonesPerBlock}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", b.second, b.third, portReservation))
+		if err == nil {
+			b.reservation = l
+			return b, nil
+		}
+	}
+	return nil, fmt.Errorf("gridfleet: no free addresses")
+}
+
+// daemonIP returns the address of the n-th daemon of a zone.
+func (b *addressBlock) daemonIP(zone, n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", b.second, b.third+zone, n+10)
 }
 
 // Settings returns the settings of the n-th daemon of the zone with the given index.
 func (f *Fleet) Settings(zone, n int) *settings.Edge {
-	ip := daemonIP(zone, n)
+	ip := f.addresses.daemonIP(zone, n)
 	addressAt := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 	zones := map[ident.ZoneID]ident.RegionID{}
 	for _, z := range f.options.Zones {
@@ -155,7 +188,7 @@
 	return &settings.Edge{
 		VM: ident.VMID(fmt.Sprintf("%s-%d", name, n+1)), Zone: name, Region: ident.RegionID(name), Zones: zones,
 		IP: ip, CallerAddress: addressAt(portCallers), ReadyAddress: addressAt(portReady), LocateAddress: addressAt(portLocate),
-		PeerPorts: []int{portPeers, portPeers}, Seeds: []string{daemonIP(0, 0) + ":1", daemonIP(0, 1) + ":1"},
+		PeerPorts: []int{portPeers, portPeers}, Seeds: []string{f.addresses.daemonIP(0, 0) + ":1", f.addresses.daemonIP(0, 1) + ":1"},
 		MetricsPort: portMetrics, Store: f.Address, MemoryMB: 256, CPUShare: 0.5, LinkMbps: 1000, LogLevel: "info",
 		Bounds: settings.Bounds{
 			Grace: settings.Seconds(grace.Seconds()), Drain: 2, Config: 2, LocateLifetime: 5,
@@ -329,4 +362,5 @@
 		row.server.Stop()
 	}
 	f.stopStore()
+	f.addresses.reservation.Close()
 }
