soak: callers that connect ahead, slow and shedding services, arrivals of the fleet

The check of the budget is stricter: by service, by arrivals in place of runs, and against the requests of the windows that the rule names.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -21,6 +21,7 @@
 	Seed          []uint64      `long:"seed" description:"seed of a run; repeat for more" required:"true"`
 	Daemons       int           `long:"daemons" description:"daemons in each of two zones" default:"4"`
 	Callers       int           `long:"callers" description:"callers" default:"12"`
+	AheadCallers  int           `long:"ahead" description:"further callers that open connections long before they use them" default:"12"`
 	FaultDuration time.Duration `long:"length" description:"time with faults" default:"14s"`
 	QuietDuration time.Duration `long:"tail" description:"time without faults after it" default:"17s"`
 	FaultInterval time.Duration `long:"gap" description:"mean time between two faults" default:"500ms"`
@@ -59,7 +60,7 @@
 		return false, err
 	}
 	r, err := soak.Run(soak.Options{
-		Seed: seed, Binary: o.Binary, Folder: folder, DaemonsPerZone: o.Daemons, Callers: o.Callers,
+		Seed: seed, Binary: o.Binary, Folder: folder, DaemonsPerZone: o.Daemons, Callers: o.Callers, AheadCallers: o.AheadCallers,
 		FaultDuration: o.FaultDuration, QuietDuration: o.QuietDuration, FaultInterval: o.FaultInterval, Faults: o.Fault, Bounds: soak.DocumentedBounds,
 	})
 	if err != nil {
--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -28,6 +28,9 @@
 	// callerDeadline is the deadline of a request, sent in its deadline header and also
 	// enforced by the caller.
 	callerDeadline = 3 * time.Second
+	// maxConnectAhead is the maximum time from the opening of a connection to its first request, for
+	// callers that connect ahead.
+	maxConnectAhead = 4 * time.Second
 )
 
 // keepsAddressesEvery makes every third caller keep daemon addresses that are no longer in the
@@ -45,7 +48,10 @@
 	// keepsAddresses means that an address is removed only when a connection to it fails, and
 	// not when it is missing from the locate response.
 	keepsAddresses bool
-	requests       []Request
+	// connectsAhead means that each request has a connection of its own, which is opened up to
+	// maxConnectAhead before the request is sent.
+	connectsAhead bool
+	requests      []Request
 }
 
 func newCaller(tb *testbed, n int, seed uint64) *caller {
@@ -62,13 +68,36 @@
 			c.locate()
 		}
 		if len(c.addresses) > 0 {
-			c.requests = append(c.requests, c.send(fmt.Sprintf("%s-%d", c.name, n)))
+			c.requests = append(c.requests, c.sendNext(fmt.Sprintf("%s-%d", c.name, n)))
 		}
 		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(meanCallerPause)))
 	}
 	c.client.CloseIdleConnections()
 }
 
+// sendNext sends a request to a random daemon, on a connection of its own that is opened ahead of the
+// request if the caller connects ahead.
+func (c *caller) sendNext(id string) Request {
+	address := c.addresses[c.random.IntN(len(c.addresses))]
+	if !c.connectsAhead {
+		return c.send(c.client, address, id)
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		c.dropAddress(address)
+		return Request{ID: id, Daemon: c.testbed.daemonsByAddress[address].name, Begun: time.Now(), Ended: time.Now(), Error: err.Error(), NoResponseExpected: true}
+	}
+	defer conn.Close()
+	time.Sleep(time.Duration(c.random.Float64() * float64(maxConnectAhead)))
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }}
+	return c.send(&http.Client{Transport: transport}, address, id)
+}
+
+// dropAddress removes an address to which no connection could be opened.
+func (c *caller) dropAddress(address string) {
+	c.addresses = slices.DeleteFunc(c.addresses, func(a string) bool { return a == address })
+}
+
 // locate asks up to three randomly chosen daemons for the addresses of daemons. If none of them
 // answers, the caller keeps its current addresses.
 func (c *caller) locate() {
@@ -106,12 +135,11 @@
 	}
 }
 
-// send sends one request to a random daemon and returns the request with its outcome.
-func (c *caller) send(id string) Request {
-	address := c.addresses[c.random.IntN(len(c.addresses))]
+// send sends one request to the daemon at an address and returns the request with its outcome.
+func (c *caller) send(client *http.Client, address, id string) Request {
 	p := c.testbed.daemonsByAddress[address]
 	kind := c.random.IntN(len(hosts))
-	r := Request{ID: id, Daemon: p.name, NonIdempotent: kind == 1, Begun: time.Now()}
+	r := Request{ID: id, Daemon: p.name, Service: services[kind], NonIdempotent: kind == 1, Begun: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
 	method, body := http.MethodGet, ""
@@ -125,7 +153,7 @@
 	req.Host = hosts[kind]
 	req.Header.Set(platform.HeaderRequestID, id)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(callerDeadline.Milliseconds()))
-	resp, err := c.client.Do(req)
+	resp, err := client.Do(req)
 	if err == nil {
 		r.readResponse(resp)
 	} else {
@@ -133,7 +161,7 @@
 		var op *net.OpError
 		if errors.As(err, &op) && op.Op == "dial" {
 			r.NoResponseExpected = true
-			c.addresses = slices.DeleteFunc(c.addresses, func(a string) bool { return a == address })
+			c.dropAddress(address)
 		}
 	}
 	r.Ended = time.Now()
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -13,8 +14,9 @@
 
 // Request is a request of a caller and its outcome. Status is 0 if there was no complete response.
 type Request struct {
-	ID     string
-	Daemon string
+	ID      string
+	Daemon  string
+	Service string
 	// NonIdempotent says that the request must not be executed more than once.
 	NonIdempotent bool
 	Begun         time.Time
@@ -41,6 +43,13 @@
 	At     time.Time
 }
 
+// Arrival is a request's arrival at a backend server of a service, whether or not it was executed.
+type Arrival struct {
+	ID      string
+	Service string
+	At      time.Time
+}
+
 // Drain is a backend server's report that it is draining.
 type Drain struct {
 	Server string
@@ -65,6 +74,7 @@
 type History struct {
 	Requests         []Request
 	Executions       []Execution
+	Arrivals         []Arrival
 	Drains           []Drain
 	AcceptedVersions []AcceptedVersion
 	ObservedVersions []ObservedVersion
@@ -239,40 +249,54 @@
 	}
 }
 
-// checkExtraAttempts checks the number of repeated executions, that is all but the first of each
-// request, in the window after each of them. The requests that it compares them with are those
-// begun within one window before or after its start. It reports only the first violation.
+// checkExtraAttempts checks, for each service, the number of repeated arrivals, that is all but the
+// first of each request, in the window after each of them. The requests that it compares them with are
+// those begun in that window, in the one before, or in the one half a window before, whichever are
+// most. It reports only the first violation of a service.
 func (c *checker) checkExtraAttempts() {
+	byService := map[string][]Arrival{}
+	for _, a := range c.Arrivals {
+		byService[a.Service] = append(byService[a.Service], a)
+	}
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		c.checkExtraAttemptsOf(service, byService[service])
+	}
+}
+
+func (c *checker) checkExtraAttemptsOf(service string, arrivals []Arrival) {
+	slices.SortFunc(arrivals, func(a, b Arrival) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.ID, b.ID)) })
 	seen := map[string]bool{}
-	var repeats []time.Time
-	executions := slices.Clone(c.Executions)
-	slices.SortFunc(executions, func(a, b Execution) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.ID, b.ID)) })
-	for _, e := range executions {
-		if seen[e.ID] {
-			repeats = append(repeats, e.At)
+	var begun, repeats []time.Time
+	for _, a := range arrivals {
+		if seen[a.ID] {
+			repeats = append(repeats, a.At)
 		}
-		seen[e.ID] = true
+		seen[a.ID] = true
 	}
-	for i, from := range repeats {
-		inWindow := 0
-		for _, at := range repeats[i:] {
-			if at.Sub(from) <= c.bounds.ExtraAttemptWindow {
-				inWindow++
-			}
-		}
-		requests := 0
-		for _, r := range c.Requests {
-			if d := r.Begun.Sub(from); d >= -c.bounds.ExtraAttemptWindow && d <= c.bounds.ExtraAttemptWindow {
-				requests++
-			}
+	for i := range c.Requests {
+		if c.Requests[i].Service == service {
+			begun = append(begun, c.Requests[i].Begun)
 		}
-		if float64(inWindow) > c.bounds.ExtraAttemptRatio*float64(requests)+c.bounds.ExtraAttemptReserve {
-			c.add(from, ExtraAttemptBudget, "%d further arrivals for %d requests", inWindow, requests)
+	}
+	slices.SortFunc(begun, time.Time.Compare)
+	window := c.bounds.ExtraAttemptWindow
+	for _, from := range repeats {
+		requests := max(countIn(begun, from, window), countIn(begun, from.Add(-window/2), window), countIn(begun, from.Add(-window), window))
+		allowed := c.bounds.ExtraAttemptRatio*float64(requests) + c.bounds.ExtraAttemptReserve
+		if n := countIn(repeats, from, window); float64(n) > allowed {
+			c.add(from, ExtraAttemptBudget, "%d further arrivals of %d requests at %s, allowed %.0f", n, requests, service, allowed)
 			return
 		}
 	}
 }
 
+// countIn returns the number of the times, which are in order, in the window that begins at from.
+func countIn(times []time.Time, from time.Time, window time.Duration) int {
+	begin, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, from.Add(window), time.Time.Compare)
+	return end - begin
+}
+
 // checkRecovery checks that enough requests are served once the recovery time after the last fault
 // has passed.
 func (c *checker) checkRecovery() {
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -29,7 +29,7 @@
 	manyRepeats := History{}
 	for n := range 60 {
 		id := fmt.Sprint(n)
-		manyRepeats.Executions = append(manyRepeats.Executions, Execution{id, "s", at(1)}, Execution{id, "t", at(1.1)})
+		manyRepeats.Arrivals = append(manyRepeats.Arrivals, Arrival{id, "s", at(1)}, Arrival{id, "s", at(1.1)})
 	}
 	for want, h := range map[Promise]History{
 		OwnCompleteResponse:  historyWith(func(r *Request) { r.Complete = false }),
@@ -57,6 +57,11 @@
 // was lost or a version that was missed while the daemon was impaired, and a version that starts
 // again after a restart.
 func TestCheckAcceptsValidHistory(t *testing.T) {
+	var fewRepeats []Arrival
+	for n := range 56 {
+		id := fmt.Sprint(n)
+		fewRepeats = append(fewRepeats, Arrival{id, "s", at(1)}, Arrival{id, "s", at(1.1)}, Arrival{id, "t", at(1)})
+	}
 	h := History{
 		Requests: []Request{
 			successfulRequest("r"),
@@ -68,6 +73,7 @@
 		Drains:           []Drain{{Server: "s", At: at(0)}},
 		AcceptedVersions: []AcceptedVersion{{6, at(1)}},
 		ObservedVersions: []ObservedVersion{{"d", 1, 3, at(1)}, {"d", 1, 6, at(2)}, {"d", 2, 0, at(3)}, {"h", 1, 3, at(1)}, {"h", 1, 3, at(4)}},
+		Arrivals:         fewRepeats,
 		Impairments:      map[string][]Span{"h": {{at(1.5), at(3)}}},
 		FaultsEnded:      at(0),
 	}
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -21,6 +21,8 @@
 
 var faults = []fault{
 	{"server fails", failServer},
+	{"service slow", slowService},
+	{"service sheds", shedService},
 	{"server restarted", restartServer},
 	{"server replaced", replaceServer},
 	{"address used again", reuseAddress},
@@ -158,6 +160,18 @@
 	return tb.servers[id]
 }
 
+// randomService returns the servers of a random service that exist for the whole run.
+func (tb *testbed) randomService(r *rand.Rand) []*backendServer {
+	service := services[r.IntN(len(services))]
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	var out []*backendServer
+	for n := range serversPerService {
+		out = append(out, tb.servers[fmt.Sprintf("%s-%d", service, n+1)])
+	}
+	return out
+}
+
 // serverFaults are the faults that a backend server injects into its requests. gridserver.Crash is
 // missing, since a crashed server must be started again; restartServer does that.
 var serverFaults = []gridserver.Fault{
@@ -176,6 +190,38 @@
 	return nil
 }
 
+// maxSlowServiceTime is the upper limit of the service time of a slow service.
+const maxSlowServiceTime = 1200 * time.Millisecond
+
+// slowService makes all initial servers of a service take longer for each request for the duration d.
+func slowService(tb *testbed, r *rand.Rand, d time.Duration) error {
+	slow := time.Duration(r.Float64() * float64(maxSlowServiceTime))
+	servers := tb.randomService(r)
+	tb.addDetail("%s takes %v", servers[0].service, slow.Round(time.Millisecond))
+	for _, s := range servers {
+		s.SetServiceTime(slow)
+	}
+	time.Sleep(d)
+	for _, s := range servers {
+		s.SetServiceTime(serviceTime)
+	}
+	return nil
+}
+
+// shedService makes all initial servers of a service shed their requests for the duration d.
+func shedService(tb *testbed, r *rand.Rand, d time.Duration) error {
+	servers := tb.randomService(r)
+	tb.addDetail("%s", servers[0].service)
+	for _, s := range servers {
+		s.SetFault(gridserver.Shed)
+	}
+	time.Sleep(d)
+	for _, s := range servers {
+		s.SetFault(gridserver.Healthy)
+	}
+	return nil
+}
+
 // maxClockStep is the upper limit, in either direction, of the step of a server's clock while it
 // restarts.
 const maxClockStep = time.Hour
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -31,6 +31,9 @@
 	Folder         string
 	DaemonsPerZone int
 	Callers        int
+	// AheadCallers is the number of further callers that open a connection for each request long
+	// before they send it.
+	AheadCallers int
 	// FaultDuration is the length of the phase in which faults are injected, QuietDuration that
 	// of the fault-free phase after it, and FaultInterval the mean time between the starts of two
 	// faults.
@@ -95,8 +98,9 @@
 // backendServer is a backend server and the proxy through which daemons reach it.
 type backendServer struct {
 	*gridserver.Server
-	id    string
-	proxy *chaosproxy.Proxy
+	id      string
+	service string
+	proxy   *chaosproxy.Proxy
 }
 
 // Run starts a deployment, injects faults that are drawn from the seed, and checks the promises
@@ -112,9 +116,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	callers := make([]*caller, o.Callers)
+	callers := make([]*caller, o.Callers+o.AheadCallers)
 	for n := range callers {
 		callers[n] = newCaller(tb, n, o.Seed)
+		callers[n].connectsAhead = n >= o.Callers
 		wg.Go(func() { callers[n].run(ctx) })
 	}
 	wg.Go(func() { tb.watchVersions(ctx) })
@@ -199,7 +204,7 @@
 
 // addServer starts a backend server behind a proxy of its own.
 func (tb *testbed) addServer(id, service string, zone int) error {
-	b := &backendServer{id: id}
+	b := &backendServer{id: id, service: service}
 	s, err := tb.fleet.AddProxiedServer(id, service, zone, serviceTime, func(address string) (string, error) {
 		var err error
 		if b.proxy, err = tb.newProxy(address); err != nil {
@@ -271,6 +276,9 @@
 		for _, run := range s.Log() {
 			h.Executions = append(h.Executions, Execution{run.ID, id, run.At})
 		}
+		for _, arrival := range s.ArrivalLog() {
+			h.Arrivals = append(h.Arrivals, Arrival{arrival.ID, s.service, arrival.At})
+		}
 	}
 	h.Drains, h.AcceptedVersions, h.ObservedVersions = tb.drains, tb.acceptedVersions, tb.observedVersions
 	for _, request := range h.Requests {
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -77,10 +77,12 @@
 	conns    map[net.Conn]bool
 	runs     map[string]int
 	log      []Run
-	bodies   map[string]string
+	// arrivalLog holds the requests that reached the server, whether or not they ran.
+	arrivalLog []Run
+	bodies     map[string]string
 }
 
-// Run records that a request with the given id started to run at a time.
+// Run records that a request with the given id arrived or started to run at a time.
 type Run struct {
 	ID string
 	At time.Time
@@ -93,6 +95,14 @@
 	return append([]Run(nil), s.log...)
 }
 
+// ArrivalLog returns a copy of all arrivals of requests in their order. Requests addressed to another
+// instance are not in it.
+func (s *Server) ArrivalLog() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.arrivalLog...)
+}
+
 // New returns a healthy server that does not listen yet. Each request takes serviceTime.
 func New(id string, serviceTime time.Duration) *Server {
 	s := &Server{conns: map[net.Conn]bool{}, runs: map[string]int{}, bodies: map[string]string{}}
@@ -249,7 +259,7 @@
 		s.writeResponse(c, id, 421, "", "Bilberrymux-Instance-Id: "+s.ID()+"\r\n")
 		return true
 	}
-	s.arrivals.Add(1)
+	s.recordArrival(id)
 	fault := *s.fault.Load()
 	switch fault {
 	case ResetBeforeRun:
@@ -272,6 +282,14 @@
 	return s.respond(c, id, fault)
 }
 
+// recordArrival counts and records a request that reached the server.
+func (s *Server) recordArrival(id string) {
+	s.arrivals.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivalLog = append(s.arrivalLog, Run{id, time.Now()})
+}
+
 // run records the request and waits for the service time. It returns false if the client
 // disconnected before the service time was over.
 func (s *Server) run(c net.Conn, r *bufio.Reader, id, body string, fault Fault) bool {
