--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -49,6 +49,7 @@
 	PeerLost            Kind = "peerLost"
 	LinkBudgetExhausted Kind = "linkBudget"
 	NotReady            Kind = "notReady"
+	Stopping            Kind = "stopping"
 	Internal            Kind = "internal"
 )
 
@@ -67,6 +68,9 @@
 	Text string
 }
 
+// otherDaemonDelay is the pause before a request is sent to another daemon, which can serve it at once.
+const otherDaemonDelay = 10 * time.Millisecond
+
 // responses maps every kind to its response. TestEveryKindHasResponse fails if a kind is missing.
 var responses = map[Kind]Response{
 	BadRequest:          {400, NotRun, 0, false, "the request is malformed"},
@@ -94,6 +98,7 @@
 	PeerLost:            {502, Unknown, time.Second, true, "the daemon that ran this request was lost"},
 	LinkBudgetExhausted: {503, NotRun, time.Second, true, "the link between the regions has no budget left"},
 	NotReady:            {503, NotRun, time.Second, true, "this daemon has no configuration yet"},
+	Stopping:            {503, NotRun, otherDaemonDelay, true, "this daemon shuts down, send the request to another one"},
 	Internal:            {500, Unknown, 0, false, "internal error"},
 }
 
--- /dev/null
+++ b/core/shutdown/shutdown_test.go
@@ -0,0 +1,55 @@
+package shutdown
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestAccepts plays the requests of testdata/accepts.txt.
+func TestAccepts(t *testing.T) {
+	f, err := os.Open("testdata/accepts.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	begin := time.Unix(1_700_000_000, 0)
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		line := lines.Text()
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		var end, at, deadline, usual, accepted string
+		if _, err := fmt.Sscan(line, &end, &at, &deadline, &usual, &accepted); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		var g Gate
+		g.Begin(NewPlan(begin, begin.Add(duration(t, end))))
+		got := g.Accepts(begin.Add(duration(t, at)), begin.Add(duration(t, deadline)), duration(t, usual))
+		if diff := cmp.Diff(accepted == "yes", got); diff != "" {
+			t.Errorf("%s: accepted (-want +got):\n%s", line, diff)
+		}
+	}
+}
+
+func TestGateIsOpenBeforeStop(t *testing.T) {
+	var g Gate
+	now := time.Now()
+	if g.Stopping() || !g.Accepts(now, now.Add(time.Hour), time.Minute) {
+		t.Error("a gate without a plan rejects requests")
+	}
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
--- a/io/daemon/run.go
+++ b/io/daemon/run.go
@@ -10,6 +10,7 @@
 	"bilberrymux/core/ident"
 	"bilberrymux/core/member"
 	"bilberrymux/core/refusal"
+	"bilberrymux/core/shutdown"
 	"bilberrymux/io/front"
 	"bilberrymux/io/once"
 	"bilberrymux/io/peer"
@@ -205,18 +206,22 @@
 	if !d.stopping.CompareAndSwap(false, true) {
 		return 0
 	}
-	limit := time.Duration(d.settings.StopSeconds) * time.Second
-	deadline := time.Now().Add(limit)
+	now := time.Now()
+	deadline := now.Add(time.Duration(d.settings.StopSeconds) * time.Second)
+	plan := shutdown.NewPlan(now, deadline.Add(-backgroundStopTime))
 	d.log.Info("stopping")
 	d.gossip.BroadcastMembers(d.members.SetState(member.Leaving))
-	d.front.Drain()
+	d.front.Drain(plan)
+	d.router.Drain(plan)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	d.gossip.Flush(ctx)
 	d.writeOwnRow(ctx)
 	// Callers may use a cached locate answer until its TTL ends, so requests are still served here.
 	d.awaitQuietCallers(deadline)
-	_ = d.front.Stop(time.Until(deadline))
+	if err := d.front.Stop(time.Until(plan.End)); err != nil {
+		d.log.WithError(err).Warn("server for callers did not shut down in time")
+	}
 	d.flushOutcomes(deadline)
 	d.permits.Release(ctx)
 	unfinished := d.front.InFlight()
@@ -238,6 +243,9 @@
 	quietPeriod = time.Second
 	// drainPollPeriod is the time between two checks of whether work in progress has ended.
 	drainPollPeriod = 50 * time.Millisecond
+	// backgroundStopTime is the time that is left for outcomes, permits and background tasks after the
+	// last request has ended.
+	backgroundStopTime = 200 * time.Millisecond
 )
 
 // awaitQuietCallers waits until no requests have arrived for quietPeriod and none is in flight. It
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -27,6 +27,7 @@
 	"bilberrymux/core/ratelimit"
 	"bilberrymux/core/refresh"
 	"bilberrymux/core/settings"
+	"bilberrymux/core/shutdown"
 	"bilberrymux/core/zone"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/discovery"
@@ -87,6 +88,8 @@
 	// fetches holds the fetches of state from peers that are in progress.
 	fetches  *refresh.Fetches
 	stopping atomic.Bool
+	// gate rejects the requests that may outlast a planned stop.
+	gate     shutdown.Gate
 	inFlight atomic.Int64
 	requests atomic.Int64
 
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -128,6 +128,9 @@
 		service: route.SelectService(s.edge.nextRequestNumber(route.Name)), received: now, deadline: deadline, request: outgoingRequest(c),
 	}
 	k.fingerprint = fingerprintOf(k.request)
+	if s.edge.gate.Stopping() && !s.edge.gate.Accepts(now, deadline, s.edge.tracker.UsualLatency(route.Name, route.TargetLatency)) {
+		return k, refusal.New(refusal.Stopping, "")
+	}
 	return k, nil
 }
 
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -7,31 +7,28 @@
 	"time"
 
 	"bilberrymux/core/event"
+	"bilberrymux/core/shutdown"
 )
 
-// Phases of a graceful shutdown.
-const (
-	// acceptShare is the share of the grace period during which new requests are still served,
-	// since callers cache locate answers for some time. The rest is for the in-flight requests.
-	acceptShare = 0.5
-	// stopMargin is how long before the end of the grace period, when the process is killed,
-	// the shutdown must be complete.
-	stopMargin = 700 * time.Millisecond
-)
+// stopMargin is how long before the end of the grace period, when the process is killed, the shutdown
+// must be complete.
+const stopMargin = 700 * time.Millisecond
 
-// Stop shuts the daemon down gracefully. The daemon is no longer offered to callers, but serves
-// the requests that still arrive and waits for the in-flight requests until shortly before the
-// grace period ends. Stop returns the number of requests that were still in flight, or 0 if the
-// daemon was already stopping.
+// Stop shuts the daemon down gracefully. The daemon is no longer offered to callers. It serves the
+// requests that still arrive and can end in time, refuses the others as not run, and waits for those
+// in flight until shortly before the grace period ends. Stop returns the number of requests that were
+// still in flight, or 0 if the daemon was already stopping.
 func (e *Edge) Stop() int64 {
 	if !e.stopping.CompareAndSwap(false, true) {
 		return 0
 	}
-	begin, grace := time.Now(), e.settings.Bounds.Grace.Duration()
+	now := time.Now()
+	plan := shutdown.NewPlan(now, now.Add(e.settings.Bounds.Grace.Duration()-stopMargin))
+	e.gate.Begin(plan)
 	e.log.WithField("inFlight", e.inFlight.Load()).Info(event.Stopping)
 	e.triggerGossip()
-	time.Sleep(time.Duration(acceptShare * float64(grace)))
-	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-stopMargin))
+	time.Sleep(time.Until(plan.AcceptUntil))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
 	if err := e.callerServer.app.ShutdownWithContext(ctx); err != nil {
 		e.log.WithError(err).Warn("server for callers did not shut down in time")
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -18,6 +18,7 @@
 	"bilberrymux/core/ident"
 	"bilberrymux/core/once"
 	"bilberrymux/core/refusal"
+	"bilberrymux/core/shutdown"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/connwatch"
 	"bilberrymux/io/hopbyhop"
@@ -73,7 +74,7 @@
 	options  Options
 	app      *fiber.App
 	inFlight atomic.Int64
-	draining atomic.Bool
+	gate     shutdown.Gate
 }
 
 // New returns a front. It accepts no requests until Serve is called.
@@ -106,9 +107,9 @@
 }
 
 // Drain makes the front close each connection after its next answer, so that callers connect to another
-// daemon.
-func (f *Front) Drain() {
-	f.draining.Store(true)
+// daemon, and refuse the requests that the plan doesn't accept.
+func (f *Front) Drain(p *shutdown.Plan) {
+	f.gate.Begin(p)
 }
 
 // Stop stops accepting requests and waits for those in flight, for at most the timeout.
@@ -143,7 +144,7 @@
 	defer f.inFlight.Add(-1)
 	start := time.Now()
 	f.options.Count("requests")
-	if f.draining.Load() {
+	if f.gate.Stopping() {
 		c.Response().SetConnectionClose()
 	}
 	call, refused := f.newCall(c, start)
@@ -214,6 +215,9 @@
 	if err != nil {
 		return nil, refusal.New(refusal.BadRequest, "%v", err)
 	}
+	if !f.gate.Accepts(now, deadline, 0) {
+		return nil, refusal.New(refusal.Stopping, "")
+	}
 	call := &router.Call{
 		ID: requestID(c), Service: route.Service, Rank: rankOf(c, route),
 		Organisation: ident.OrganisationID(strings.Clone(c.Get(OrganisationHeader))),
--- a/io/router/forward.go
+++ b/io/router/forward.go
@@ -188,6 +188,11 @@
 // serveForward decodes a forwarded call and runs it: on this daemon if it has no key, and as the decider
 // of the key otherwise.
 func (r *Router) serveForward(ctx context.Context, req *peerpb.ForwardRequest) Reply {
+	now := time.Now()
+	deadline := now.Add(time.Duration(req.GetTimeoutMicros()) * time.Microsecond)
+	if !r.gate.Accepts(now, deadline, 0) {
+		return refuse(refusal.Stopping, "")
+	}
 	if req.GetHops() > maxHops {
 		return refuse(refusal.ForwardingLoop, "%d hops", req.GetHops())
 	}
@@ -198,7 +203,7 @@
 	c := &Call{
 		ID: req.GetRequestId(), Service: ident.ServiceID(req.GetService()), Rank: ident.Rank(req.GetRank()),
 		Organisation: ident.OrganisationID(req.GetOrganisation()), Idempotent: req.GetIdempotent(),
-		Deadline:     time.Now().Add(time.Duration(req.GetTimeoutMicros()) * time.Microsecond),
+		Deadline:     deadline,
 		LatencyClass: uint8(req.GetKind()), Hops: int(req.GetHops()), HTTP: httpReq,
 		Fingerprint: FingerprintOf(httpReq),
 	}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -16,6 +16,7 @@
 	coreonce "bilberrymux/core/once"
 	"bilberrymux/core/refusal"
 	"bilberrymux/core/shard"
+	"bilberrymux/core/shutdown"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/dispatch"
 	"bilberrymux/io/once"
@@ -47,6 +48,8 @@
 type Router struct {
 	options          Options
 	forwardsInFlight atomic.Int64
+	// gate rejects the calls of other daemons that may outlast a planned stop.
+	gate shutdown.Gate
 }
 
 // New returns a router with the given dependencies.
@@ -54,6 +57,11 @@
 	return &Router{options: o}
 }
 
+// Drain makes the router refuse the calls of other daemons that the plan doesn't accept.
+func (r *Router) Drain(p *shutdown.Plan) {
+	r.gate.Begin(p)
+}
+
 // ForwardsInFlight returns the number of requests that this daemon is running for other daemons.
 func (r *Router) ForwardsInFlight() int64 {
 	return r.forwardsInFlight.Load()
--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -350,6 +350,73 @@
 	}
 }
 
+// TestRequestsLateInPlannedStopAreNotCut guards against requests that are taken on connections without
+// an earlier one, late in a planned stop, and are in flight when the process ends.
+func TestRequestsLateInPlannedStopAreNotCut(t *testing.T) {
+	f, servers := start(t, Options{})
+	for _, s := range servers {
+		s.SetServiceTime(900 * time.Millisecond)
+	}
+	d := f.Daemons[0]
+	const interval = 100 * time.Millisecond
+	grace := d.Settings.Bounds.Grace.Duration()
+	var conns []net.Conn
+	for range 2 * int(grace/interval) {
+		c, err := net.Dial("tcp", d.Settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	left := make(chan int64, 1)
+	go func() { left <- d.Edge.Stop() }()
+	var wg sync.WaitGroup
+	responses := make(chan response, len(conns))
+	for n, c := range conns {
+		wg.Go(func() {
+			time.Sleep(time.Duration(n) * interval / 2)
+			responses <- bookOn(c)
+		})
+	}
+	if n := <-left; n != 0 {
+		t.Errorf("%d requests were in flight at the end of the planned stop, want 0", n)
+	}
+	wg.Wait()
+	close(responses)
+	for r := range responses {
+		if r.Err == nil && r.Status != 200 && r.Status != 503 {
+			t.Errorf("during the planned stop: got %+v, want a response of a server or a refusal as not run", r)
+		}
+		checkRefusal(t, servers, r)
+	}
+}
+
+// bookOn sends a booking on an open connection.
+func bookOn(c net.Conn) response {
+	r := response{ID: fmt.Sprintf("id-%d", lastRequestID.Add(1))}
+	fmt.Fprintf(c, "POST /b/x HTTP/1.1\r\nHost: %s\r\nBilberrymux-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", bookHost, r.ID)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		r.Err = err
+		return r
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	r.Status, r.Body, r.Header, r.Err = resp.StatusCode, string(text), resp.Header, err
+	return r
+}
+
+// checkRefusal checks that a request did not run if its response says so.
+func checkRefusal(t *testing.T, servers map[string]*gridserver.Server, r response) {
+	t.Helper()
+	for id, s := range servers {
+		if r.Status == 503 && s.Runs()[r.ID] > 0 {
+			t.Errorf("request %s was refused as not run, but it ran at %s", r.ID, id)
+		}
+	}
+}
+
 func TestCallerDisconnectCancelsServerRequest(t *testing.T) {
 	f, servers := start(t, Options{})
 	for _, s := range servers {
