--- a/io/daemon/run.go
+++ b/io/daemon/run.go
@@ -12,6 +12,7 @@
 	"bilberrymux/core/refusal"
 	"bilberrymux/core/shutdown"
 	"bilberrymux/io/front"
+	"bilberrymux/io/listener"
 	"bilberrymux/io/once"
 	"bilberrymux/io/peer"
 	"bilberrymux/io/peer/peerpb"
@@ -80,7 +81,7 @@
 		return nil, fmt.Errorf("daemon: listen on %s: %w", address, err)
 	}
 	d.listeners = append(d.listeners, l)
-	return l, nil
+	return listener.New(l, d.log), nil
 }
 
 // serve runs the server of one listener in the background. An error that is not caused by a stop is
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -31,6 +31,7 @@
 	"bilberrymux/core/zone"
 	"bilberrymux/io/backend"
 	"bilberrymux/io/discovery"
+	"bilberrymux/io/listener"
 	"bilberrymux/io/meter"
 	"bilberrymux/io/netfault"
 	"bilberrymux/io/news"
@@ -166,7 +167,7 @@
 // daemon is ready for callers. The background work ends with the context.
 func (e *Edge) Start(ctx context.Context) error {
 	ctx, e.cancel = context.WithCancel(ctx)
-	peers, err := net.Listen("tcp", e.peerAddress())
+	peers, err := listener.Listen(e.peerAddress(), e.log)
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
--- a/io/edge/listen.go
+++ b/io/edge/listen.go
@@ -8,6 +8,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"bilberrymux/io/listener"
 	"bilberrymux/io/meter"
 	"bilberrymux/platform"
 )
@@ -28,12 +29,12 @@
 		if l.name == "metrics" && e.settings.MetricsPort == 0 {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		accepting, err := listener.Listen(l.address, e.log)
 		if err != nil {
 			return fmt.Errorf("edge: %s: %w", l.name, err)
 		}
-		e.closers = append(e.closers, listener.Close)
-		e.background.Go(func() { e.reportListenerEnd(l.name, l.serve(listener)) })
+		e.closers = append(e.closers, accepting.Close)
+		e.background.Go(func() { e.reportListenerEnd(l.name, l.serve(accepting)) })
 	}
 	return nil
 }
