budget: the sum over all daemons is bounded, whichever the callers choose (BUDGET)

Cause: the reserve was divided by the owners of one host, but each daemon that owned any host had such a part for every service, and each other one a burst of 1; and buckets held tokens from before the window.

Change: requests and further attempts are counted in a sliding window; the reserve is divided for each service among the owners of its hosts, a small part among all daemons; new owners and new processes gain their part over a window, and a daemon that hears less than half of its zone has no owner's part (core/budget.Division).

The test of one owner's part is replaced by TestFleetKeepsBudget, which checks the sum; the soak has four hosts a service, and callers that connect ahead go to any daemon.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -83,9 +83,10 @@
 		previous, newest uint64
 		changedAt        time.Time
 	}
-	// ownersCheckedAt is the time of the last adaptation of the budget to the owners of the hosts.
-	// Only the gossip goroutine uses it.
-	ownersCheckedAt time.Time
+	// division computes this daemon's part of the reserve of further attempts, and reservesUpdatedAt is
+	// the time of its last computation. Only the gossip goroutine uses them.
+	division          *budget.Division
+	reservesUpdatedAt time.Time
 	// fetches holds the fetches of state from peers that are in progress.
 	fetches  *refresh.Fetches
 	stopping atomic.Bool
@@ -135,7 +136,9 @@
 		Capacity: min(s.CPUShare, s.LinkMbps/linkMbpsPerCore),
 	})
 	e.tracker = belief.New(belief.Options{Seed: xxhash.Sum64String(string(s.VM)), Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, OnChange: e.beliefChanged})
-	e.budget = budget.New(budgetOptions(s, minOwners))
+	now := time.Now()
+	e.budget = budget.New(now, budgetOptions(s))
+	e.division = budget.NewDivision(now, divisionOptions(s))
 	e.backend = backend.New(e.dialer(serverDialTimeout), func(reason backend.CloseReason) {
 		e.countBy("connections.closed", "end", string(reason))
 	})
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
 	"bilberrymux/core/belief"
+	"bilberrymux/core/budget"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
 	"bilberrymux/core/settings"
@@ -79,22 +81,17 @@
 	}
 }
 
-// TestDaemonsStayWithinBudgetReserve checks that the further attempts of all daemons that own a
-// host together stay within the reserve.
+// TestDaemonsStayWithinBudgetReserve checks that what a daemon divides is the reserve of the settings, with
+// a margin in the ratio. core/budget.TestFleetKeepsBudget checks the sum over all daemons.
 func TestDaemonsStayWithinBudgetReserve(t *testing.T) {
 	s := &settings.Edge{Zones: map[ident.ZoneID]ident.RegionID{"a": "r", "b": "r", "c": "q"}, Bounds: settings.Bounds{
 		ExtraAttemptRatio: 0.2, ExtraAttemptReserve: 60, ExtraAttemptWindow: 10,
 	}}
-	const owners = 2
-	o := budgetOptions(s, owners)
-	maxSpend := owners * 3 * (o.Burst + o.PerSecond*10)
-	if maxSpend > 60 {
-		t.Errorf("the daemons may make %.1f further attempts in a window, want at most the reserve of 60", maxSpend)
+	want := budget.DivisionOptions{Reserve: 60, Window: 10 * time.Second, Zones: 3}
+	if diff := cmp.Diff(want, divisionOptions(s)); diff != "" {
+		t.Errorf("division of a restarted daemon (-want +got):\n%s", diff)
 	}
-	if o.Ratio >= 0.2 {
-		t.Errorf("got a ratio of %.2f for one daemon, want less than 0.2", o.Ratio)
-	}
-	if o.Initial != 0 {
-		t.Errorf("got %.1f initial tokens for a restarted daemon, want 0", o.Initial)
+	if o := budgetOptions(s); o.Ratio >= 0.2 || o.Window != want.Window {
+		t.Errorf("got %+v, want a ratio of less than 0.2 in a window of %v", o, want.Window)
 	}
 }
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -209,7 +209,7 @@
 	e, k := r.edge, r.call
 	a := e.tracker.Pick(time.Now(), &belief.PickInfo{
 		Servers: e.watcher.Roster().ForService(k.service), Route: k.route.Name, TargetLatency: k.route.TargetLatency, Idempotent: k.route.Idempotent,
-		Last: r.reached+1 >= k.route.Attempts || e.budget.Balance(k.service) < 1, Tried: r.tried, Limits: e.limits,
+		Last: r.reached+1 >= k.route.Attempts || e.budget.Balance(time.Now(), k.service) < 1, Tried: r.tried, Limits: e.limits,
 	})
 	if a == nil {
 		return nil
--- a/io/edge/further.go
+++ b/io/edge/further.go
@@ -53,7 +53,7 @@
 // takeBudget takes one token from the budget of the service and records a further attempt with
 // the given reason. It returns false if the budget is exhausted.
 func (r *forwardState) takeBudget(reason string) bool {
-	if r.edge.budget.TryWithdraw(r.call.service) {
+	if r.edge.budget.TryWithdraw(time.Now(), r.call.service) {
 		r.recordFurtherAttempt(reason)
 		return true
 	}
@@ -63,7 +63,7 @@
 	r.withoutBudget = true
 	r.edge.count("noBudget")
 	r.edge.log.WithFields(logrus.Fields{
-		"request": r.call.id, "service": r.call.service, "reason": reason, "left": r.edge.budget.Balance(r.call.service),
+		"request": r.call.id, "service": r.call.service, "reason": reason, "left": r.edge.budget.Balance(time.Now(), r.call.service),
 	}).Warn(event.NoBudget)
 	return false
 }
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -66,8 +66,7 @@
 }
 
 // sendToZone sends a message with reports and changes of the server list to the other daemons
-// of the zone. It also marks silent daemons as down and adapts the budget to the number of live
-// daemons.
+// of the zone. It also marks silent daemons as down and computes this daemon's part of the budget.
 func (e *Edge) sendToZone(now time.Time) {
 	for _, m := range e.members.Expire(now) {
 		e.log.WithFields(logrus.Fields{"daemon": m.VM, "silentMillis": zone.SilenceTimeout.Milliseconds()}).Warn(event.DaemonDown)
@@ -79,10 +78,7 @@
 	m.Limits = e.limits.Reports(now, maxLimitReports)
 	e.updateLimitShares(now)
 	e.transport.Send(m, addresses(e.members.Peers()))
-	if now.Sub(e.ownersCheckedAt) >= ownerCheckPeriod {
-		e.ownersCheckedAt = now
-		e.budget.SetOptions(budgetOptions(e.settings, e.ownedHostOwners()))
-	}
+	e.updateReserves(now)
 }
 
 // changesBase returns the revision after which changes of the server list are sent, given the
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -40,7 +40,7 @@
 	set("connections.callers", int64(e.callerServer.app.Server().GetOpenConnectionsCount()))
 	for id := range e.watcher.Catalog().Services {
 		service := meter.Label{Key: "service", Value: string(id)}
-		set(meter.Name("budget", service), int64(e.budget.Balance(id)))
+		set(meter.Name("budget", service), int64(e.budget.Balance(time.Now(), id)))
 		set(meter.Name("lossPerMille", service), int64(1000*e.tracker.LossRate(time.Now(), id)))
 	}
 	if e.options.LogDropped != nil {
--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -48,8 +48,9 @@
 	// keepsAddresses means that an address is removed only when a connection to it fails, and
 	// not when it is missing from the locate response.
 	keepsAddresses bool
-	// connectsAhead means that each request has a connection of its own, which is opened up to
-	// maxConnectAhead before the request is sent.
+	// connectsAhead means that each request goes to any daemon, also to those that the locate response
+	// does not name, on a connection of its own, which is opened up to maxConnectAhead before the request
+	// is sent.
 	connectsAhead bool
 	requests      []Request
 }
@@ -75,16 +76,15 @@
 	c.client.CloseIdleConnections()
 }
 
-// sendNext sends a request to a random daemon, on a connection of its own that is opened ahead of the
-// request if the caller connects ahead.
+// sendNext sends a request to a random one of the caller's addresses. A caller that connects ahead sends
+// it to any daemon, on a connection of its own that is opened ahead of the request.
 func (c *caller) sendNext(id string) Request {
-	address := c.addresses[c.random.IntN(len(c.addresses))]
 	if !c.connectsAhead {
-		return c.send(c.client, address, id)
+		return c.send(c.client, c.addresses[c.random.IntN(len(c.addresses))], id)
 	}
+	address := c.testbed.daemons[c.random.IntN(len(c.testbed.daemons))].settings.CallerAddress
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
-		c.dropAddress(address)
 		return Request{ID: id, Daemon: c.testbed.daemonsByAddress[address].name, Begun: time.Now(), Ended: time.Now(), Error: err.Error(), NoResponseExpected: true}
 	}
 	defer conn.Close()
@@ -104,7 +104,7 @@
 	for range 3 {
 		p := c.testbed.daemons[c.random.IntN(len(c.testbed.daemons))]
 		client := http.Client{Timeout: locateTimeout}
-		resp, err := client.Get("http://" + p.settings.LocateAddress + platform.PathLocate + "?name=" + hosts[0])
+		resp, err := client.Get("http://" + p.settings.LocateAddress + platform.PathLocate + "?name=" + hostOf(services[0], 0))
 		if err != nil {
 			continue
 		}
@@ -138,7 +138,7 @@
 // send sends one request to the daemon at an address and returns the request with its outcome.
 func (c *caller) send(client *http.Client, address, id string) Request {
 	p := c.testbed.daemonsByAddress[address]
-	kind := c.random.IntN(len(hosts))
+	kind := c.random.IntN(len(services))
 	r := Request{ID: id, Daemon: p.name, Service: services[kind], NonIdempotent: kind == 1, Begun: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
@@ -150,7 +150,7 @@
 	if err != nil {
 		panic(err)
 	}
-	req.Host = hosts[kind]
+	req.Host = hostOf(services[kind], c.random.IntN(hostsPerService))
 	req.Header.Set(platform.HeaderRequestID, id)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(callerDeadline.Milliseconds()))
 	resp, err := client.Do(req)
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -208,14 +208,18 @@
 	return nil
 }
 
-// shedService makes all initial servers of a service shed their requests for the duration d.
+// shedFactor makes a service shed for so long that the budgets for further attempts run dry.
+const shedFactor = 6
+
+// shedService makes all initial servers of a service shed their requests for shedFactor times the
+// duration d.
 func shedService(tb *testbed, r *rand.Rand, d time.Duration) error {
 	servers := tb.randomService(r)
 	tb.addDetail("%s", servers[0].service)
 	for _, s := range servers {
 		s.SetFault(gridserver.Shed)
 	}
-	time.Sleep(d)
+	time.Sleep(shedFactor * d)
 	for _, s := range servers {
 		s.SetFault(gridserver.Healthy)
 	}
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -62,12 +62,19 @@
 	history    *History
 }
 
-// hosts holds the host of the idempotent requests and that of the non-idempotent ones, which must
+// services holds the service of the idempotent requests and that of the non-idempotent ones, which must
 // not be executed more than once.
-var hosts = [2]string{"read.example", "order.example"}
-
 var services = [2]string{"reader", "orders"}
 
+// hostsPerService is the number of hosts of each service. Callers of different hosts are directed to
+// different daemons.
+const hostsPerService = 4
+
+// hostOf returns the n-th host of a service.
+func hostOf(service string, n int) string {
+	return fmt.Sprintf("%s-%d.example", service, n)
+}
+
 // serversPerService is the number of backend servers of each service at the start of a run.
 const serversPerService = 4
 
@@ -187,14 +194,17 @@
 	return p, nil
 }
 
-// configure stores a new version of the configuration, with one idempotent and one non-idempotent
-// route, and records when the store accepted it.
+// configure stores a new version of the configuration, with idempotent and non-idempotent
+// routes, and records when the store accepted it.
 func (tb *testbed) configure() {
 	var routes []gridfleet.Route
 	for i, kind := range []string{"safe", "unsafe"} {
-		routes = append(routes, gridfleet.Route{
-			Name: kind, Host: hosts[i], Prefix: "/x/", Kind: kind, Timeout: 1.5, Target: 0.5, Priority: i, Attempts: 2, Service: services[i],
-		})
+		for n := range hostsPerService {
+			routes = append(routes, gridfleet.Route{
+				Name: fmt.Sprintf("%s-%d", kind, n), Host: hostOf(services[i], n), Prefix: "/x/", Kind: kind,
+				Timeout: 1.5, Target: 0.5, Priority: i, Attempts: 2, Service: services[i],
+			})
+		}
 	}
 	version := tb.fleet.Configure(routes, services[:]...)
 	tb.mu.Lock()
--- a/io/soak/wrong_test.go
+++ b/io/soak/wrong_test.go
@@ -185,7 +185,10 @@
 		ctx.SetStatusCode(fasthttp.StatusBadGateway)
 		return
 	}
-	service := services[max(0, slices.Index(hosts[:], string(ctx.Host())))]
+	service := services[0]
+	if strings.HasPrefix(string(ctx.Host()), services[1]) {
+		service = services[1]
+	}
 	var list []roster.Server
 	for _, s := range *d.servers.Load() {
 		if string(s.Service) == service {
