edge: a 503 or 429 without the server's word is no promise, and not passed on (REFUSED)

Cause: the daemon passed on a server's answer with its status. From a server 429, 503 and 408 promise nothing without Bilberrymux-Not-Executed, but callers take them for a promise. Change: such an answer counts as a failed attempt that may have run.

TestServerFaultsNeverCauseInvalidResponses/unmarkedRefusal fails before. Each of its cases has a fleet of its own now: the new one had passed in the old order, since its servers got no requests any more.

--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -45,13 +45,22 @@
 	if outcome == belief.Broken {
 		e.tasks.Go(func() { e.checkCrash(k, a) })
 	}
-	if answer != nil && outcome != belief.Good && outcome != belief.Failed {
+	if answer != nil && !mayBePassedOn(answer, outcome) {
 		answer.Discard()
 		answer = nil
 	}
 	return attemptResult{a, outcome, answer, err}
 }
 
+// mayBePassedOn reports whether a caller may get the answer of an attempt. An answer whose status promises
+// that the request did not run is not passed on: the server may have run it, or another one may yet.
+func mayBePassedOn(answer *backend.Answer, o belief.Outcome) bool {
+	if o != belief.Good && o != belief.Failed {
+		return false
+	}
+	return !platform.PromisesNotExecuted(answer.Response.StatusCode())
+}
+
 // recordEnd records the outcome of an attempt as evidence about the server. That of a streamed answer
 // is known when its body ends.
 func (e *Edge) recordEnd(a *belief.Attempt, answer *backend.Answer, o belief.Outcome, took time.Duration) {
@@ -106,6 +115,8 @@
 		return belief.Shed
 	case platform.Unsigned, platform.WrongRequest:
 		return belief.Broken
+	case platform.UnmarkedRefusal:
+		return belief.Failed
 	}
 	if answer.Response.StatusCode() >= fasthttp.StatusInternalServerError {
 		return belief.Failed
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -63,7 +63,7 @@
 	for _, kind := range refusal.Kinds() {
 		r := refusal.New(kind, "")
 		r.MayHaveRun = true
-		if status := statusOf(r); promisesNotRun(status) {
+		if status := statusOf(r); platform.PromisesNotExecuted(status) {
 			t.Errorf("%s: got status %d, which says that the request did not run, for a request that may have run", kind, status)
 		}
 	}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -201,7 +201,7 @@
 	s.edge.log.WithFields(fields).Warn(event.Refused)
 	status := statusOf(r)
 	c.Status(status)
-	if pause := refusalhttp.RetryAfterOf(r); promisesNotRun(status) && pause > 0 {
+	if pause := refusalhttp.RetryAfterOf(r); platform.PromisesNotExecuted(status) && pause > 0 {
 		c.Set(fiber.HeaderRetryAfter, platform.FormatRetryAfter(pause))
 	}
 	refusalhttp.SetBody(c, r)
@@ -211,22 +211,12 @@
 // request did not run, but it may have run.
 func statusOf(r *refusal.Error) int {
 	status := refusal.ResponseFor(r.Kind).Status
-	if promisesNotRun(status) && r.Outcome() == refusal.Unknown {
+	if platform.PromisesNotExecuted(status) && r.Outcome() == refusal.Unknown {
 		return fasthttp.StatusBadGateway
 	}
 	return status
 }
 
-// promisesNotRun reports whether an HTTP status says that the request did not run.
-func promisesNotRun(status int) bool {
-	switch status {
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable,
-		fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
 // handleError responds to requests that the HTTP library rejected before a handler was called.
 func (s *callerServer) handleError(c *fiber.Ctx, err error) error {
 	s.refuse(c, nil, refusal.New(refusalhttp.KindOf(err), "%v", err))
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -177,6 +177,8 @@
 var serverFaults = []gridserver.Fault{
 	gridserver.ResetBeforeRun, gridserver.ResetAfterRun, gridserver.Error, gridserver.Shed, gridserver.Hang,
 	gridserver.ExtraResponse, gridserver.TruncatedBody, gridserver.UnframedBody, gridserver.Unsigned,
+	gridserver.TruncatedHead, gridserver.RepeatedRefusal, gridserver.AnonymousRefusal, gridserver.UnmarkedRefusal,
+	gridserver.EndlessHead, gridserver.EndlessBody,
 }
 
 // failServer makes a backend server fail its requests in one way for the duration d.
--- a/io/standin/gridfleet/faults_test.go
+++ b/io/standin/gridfleet/faults_test.go
@@ -28,14 +28,15 @@
 // fault in turn. Every successful response must be complete and belong to its request, no booking
 // may run twice, and no booking that was refused as not run may have run.
 func TestServerFaultsNeverCauseInvalidResponses(t *testing.T) {
-	f, servers := start(t, Options{})
 	faults := []gridserver.Fault{
 		gridserver.ResetBeforeRun, gridserver.ResetAfterRun, gridserver.Error, gridserver.Shed, gridserver.ExtraResponse,
 		gridserver.TruncatedBody, gridserver.UnframedBody, gridserver.Unsigned, gridserver.EndlessHead, gridserver.EndlessBody,
-		gridserver.TruncatedHead, gridserver.RepeatedRefusal, gridserver.AnonymousRefusal,
+		gridserver.TruncatedHead, gridserver.RepeatedRefusal, gridserver.AnonymousRefusal, gridserver.UnmarkedRefusal,
 	}
 	for _, fault := range faults {
 		t.Run(string(fault), func(t *testing.T) {
+			// Servers that failed before would get few of the requests.
+			f, servers := start(t, Options{})
 			for _, id := range []string{"reader-1", "booker-1"} {
 				servers[id].SetFault(fault)
 				defer servers[id].SetFault(gridserver.Healthy)
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -31,6 +31,9 @@
 	Error Fault = "error"
 	// Shed responds with status 503 and the header that says that the request did not run.
 	Shed Fault = "shed"
+	// UnmarkedRefusal runs the request and responds with a signed status 503 that does not say that it
+	// did not run.
+	UnmarkedRefusal Fault = "unmarkedRefusal"
 	// Hang runs the request and delays the response by one hour.
 	Hang Fault = "hang"
 	// ExtraResponse sends every response twice, the second one after faultDelay.
@@ -326,6 +329,8 @@
 		return false
 	case Error:
 		s.writeResponse(c, id, 500, "broken", signature)
+	case UnmarkedRefusal:
+		s.writeResponse(c, id, 503, "overloaded", signature)
 	case Unsigned:
 		s.writeResponse(c, id, 200, body, "")
 	case LargeBody:
