edge: daemons that were removed for good don't count against the majority of a zone

The majority that an owner of the budget's reserve needs was taken of all daemons ever known, so that a zone whose VMs had been replaced would have lost its parts. Now it is taken of those heard within the last minute, as for limits.

--- a/core/budget/division.go
+++ b/core/budget/division.go
@@ -39,8 +39,8 @@
 	Owner  bool
 	// Known is the number of all known daemons of all zones, up or down, with this one.
 	Known int
-	// Majority reports whether this daemon hears from more than half of the daemons of its zone, itself
-	// included. Otherwise others may see other owners.
+	// Majority reports whether this daemon hears from more than half of the daemons of its zone that it
+	// heard from lately, itself included. Otherwise others may see other owners.
 	Majority bool
 }
 
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -89,7 +89,7 @@
 }
 
 // limitMemory is the time since the last message of a daemon after which it no longer counts among
-// those that may share a limit.
+// those that may share a limit or the reserve of further attempts.
 const limitMemory = time.Minute
 
 // ownersOfService returns the daemons of this zone to which the callers of a service's routes are
--- a/io/edge/owners.go
+++ b/io/edge/owners.go
@@ -42,8 +42,8 @@
 		return
 	}
 	e.reservesUpdatedAt = now
-	known, live := len(e.members.Peers())+1, len(e.members.Live())+1
-	view := budget.View{Known: len(e.members.All()) + 1, Majority: 2*live > known}
+	live, heard := len(e.members.Live())+1, e.members.Heard(now, limitMemory)+1
+	view := budget.View{Known: len(e.members.All()) + 1, Majority: 2*live > heard}
 	for _, service := range e.budget.Services() {
 		owners := e.ownersOfService(service)
 		view.Owners, view.Owner = len(owners), slices.Contains(owners, e.settings.VM)
