budget: owners have their parts from the beginning, and more of the reserve

Ownership was recorded only from a daemon's first request for a service on, so that each owner counted as a new one then.

Change: parts are computed for all services of the configuration, 64 a second; steady owners divide 0.85 of the reserve in place of 0.64, new ones gain 0.1 of their part over the first window in place of 0.3, all daemons divide 0.03 in place of 0.07. The sum stays below the reserve: 0.85 x 1.1 + 2 x 0.03. TestFleetKeepsBudget uses at most 0.96 of what the rule allows.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -64,17 +64,6 @@
 	b.account(service).reserve = reserve
 }
 
-// Services returns the services that had requests, in any order.
-func (b *Budget) Services() []ident.ServiceID {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := make([]ident.ServiceID, 0, len(b.accounts))
-	for s := range b.accounts {
-		out = append(out, s)
-	}
-	return out
-}
-
 // Deposit counts one request of a service.
 func (b *Budget) Deposit(now time.Time, service ident.ServiceID) {
 	b.mu.Lock()
--- a/core/budget/division.go
+++ b/core/budget/division.go
@@ -9,11 +9,11 @@
 const (
 	// ownerShare and commonShare are the shares of the reserve that the owners of a service's hosts and
 	// that all daemons divide among themselves.
-	ownerShare  = 0.64
-	commonShare = 0.07
+	ownerShare  = 0.85
+	commonShare = 0.03
 	// newOwnerShare is the share of an owner's part that it has gained one window after it became an
 	// owner; from then on it has all of it. The owners before it may have used theirs in the same window.
-	newOwnerShare = 0.3
+	newOwnerShare = 0.1
 	// settleTime is the time after the first start of the whole system in which all daemons have heard of
 	// each other.
 	settleTime = 2 * time.Second
@@ -64,7 +64,8 @@
 	return &Division{options: o, started: now, owned: map[ident.ServiceID]ownership{}}
 }
 
-// Reserve returns this daemon's part of a service's reserve.
+// Reserve returns this daemon's part of a service's reserve. It is to be called about once a second, since
+// it also records since when the daemon has been an owner.
 func (d *Division) Reserve(now time.Time, service ident.ServiceID, v View) float64 {
 	running := min(1, float64(now.Sub(d.started))/float64(d.options.Window))
 	part := commonShare * d.options.Reserve / float64(max(1, v.Known)) * running
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -83,10 +83,12 @@
 		previous, newest uint64
 		changedAt        time.Time
 	}
-	// division computes this daemon's part of the reserve of further attempts, and reservesUpdatedAt is
-	// the time of its last computation. Only the gossip goroutine uses them.
+	// division computes this daemon's parts of the reserve of further attempts. reservesUpdatedAt is the
+	// time of its last computation, and nextReserve the place of the last service for which it was
+	// computed. Only the gossip goroutine uses them.
 	division          *budget.Division
 	reservesUpdatedAt time.Time
+	nextReserve       int
 	// fetches holds the fetches of state from peers that are in progress.
 	fetches  *refresh.Fetches
 	stopping atomic.Bool
--- a/io/edge/owners.go
+++ b/io/edge/owners.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,10 +34,15 @@
 	}
 }
 
-// reserveCheckPeriod is the time between two computations of this daemon's parts of the reserve.
-const reserveCheckPeriod = time.Second
+// reserveCheckPeriod is the time between two computations of this daemon's parts of the reserve, and
+// maxCheckedServices is the number of services for which one of them computes it.
+const (
+	reserveCheckPeriod = time.Second
+	maxCheckedServices = 64
+)
 
-// updateReserves computes this daemon's part of the reserve of each service that had requests.
+// updateReserves computes this daemon's part of the reserve of each service. If there are more than
+// maxCheckedServices, it computes those of the next ones in turn.
 func (e *Edge) updateReserves(now time.Time) {
 	if now.Sub(e.reservesUpdatedAt) < reserveCheckPeriod {
 		return
@@ -44,7 +50,10 @@
 	e.reservesUpdatedAt = now
 	live, heard := len(e.members.Live())+1, e.members.Heard(now, limitMemory)+1
 	view := budget.View{Known: len(e.members.All()) + 1, Majority: 2*live > heard}
-	for _, service := range e.budget.Services() {
+	services := slices.Sorted(maps.Keys(e.watcher.Catalog().Services))
+	for range min(len(services), maxCheckedServices) {
+		e.nextReserve = (e.nextReserve + 1) % len(services)
+		service := services[e.nextReserve]
 		owners := e.ownersOfService(service)
 		view.Owners, view.Owner = len(owners), slices.Contains(owners, e.settings.VM)
 		e.budget.SetReserve(service, e.division.Reserve(now, service, view))
