holdoff: servers that say they leave, or ask for a pause, get nothing from the daemon

core/holdoff keeps what each run of a server asked for; Pick leaves such servers out, also for the floor and for servers with limits. After a pause one request at a time goes there until one is answered. While all servers pause, requests are refused at once as not run, with the time that is left and up to a quarter more. Wrong values are counted, logged once a minute for a server, and bounded by 10 minutes.

--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -53,7 +53,7 @@
 	if !large && !degraded {
 		return nil
 	}
-	candidates := t.candidatesByRisk(now, info.Servers, large)
+	candidates := t.candidatesByRisk(now, info, large)
 	for _, c := range candidates[:floorSize(len(candidates), info, t.floorShare(degraded && large))] {
 		idleLimit := t.floorIdleLimit(c.server.ID)
 		if !degraded && c.risk >= suspectThreshold {
@@ -77,7 +77,7 @@
 	for _, server := range info.Servers {
 		s := t.state(now, server.Key())
 		usable := s.busy(now) == 0 && !now.Before(s.unreachableUntil) && !s.misdirected && s.riskAt(now) < sickThreshold
-		if !server.Draining && usable && info.Limits.Due(now, server.Key()) {
+		if !server.Draining && usable && !info.heldOff(now, server.Key()) && info.Limits.Due(now, server.Key()) {
 			return server
 		}
 	}
@@ -91,13 +91,13 @@
 	risk   float64
 }
 
-// candidatesByRisk returns the servers that are not draining in ascending order of risk. For
-// a large service it returns only the servers of the daemon's zone, since there is little
+// candidatesByRisk returns the servers that are neither draining nor held off, in ascending order of risk.
+// For a large service it returns only the servers of the daemon's zone, since there is little
 // evidence about the others.
-func (t *Tracker) candidatesByRisk(now time.Time, servers []*roster.Server, large bool) []candidate {
-	out := make([]candidate, 0, len(servers))
-	for _, server := range servers {
-		if server.Draining || (large && server.Zone != t.options.Zone) {
+func (t *Tracker) candidatesByRisk(now time.Time, info *PickInfo, large bool) []candidate {
+	out := make([]candidate, 0, len(info.Servers))
+	for _, server := range info.Servers {
+		if server.Draining || (large && server.Zone != t.options.Zone) || info.heldOff(now, server.Key()) {
 			continue
 		}
 		s := t.state(now, server.Key())
--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bilberrymux/core/holdoff"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/ratelimit"
 	"bilberrymux/core/roster"
@@ -25,11 +26,18 @@
 	Tried []roster.Key
 	// Limits holds the limits that servers have named. It may be nil.
 	Limits *ratelimit.Limits
+	// Holdoffs holds the servers that asked for no requests. It may be nil.
+	Holdoffs *holdoff.Holdoffs
 }
 
-// allows reports whether the limits allow an attempt at the server.
+// allows reports whether the limits and the server itself allow an attempt at the server.
 func (info *PickInfo) allows(now time.Time, key roster.Key) bool {
-	return info.Limits == nil || info.Limits.Allows(now, key)
+	return !info.heldOff(now, key) && (info.Limits == nil || info.Limits.Allows(now, key))
+}
+
+// heldOff reports whether a server asked for no requests.
+func (info *PickInfo) heldOff(now time.Time, key roster.Key) bool {
+	return info.Holdoffs != nil && !info.Holdoffs.Allows(now, key)
 }
 
 // The costs of picking a server, as fractions of the value of one request.
@@ -100,6 +108,9 @@
 	if info.Limits != nil {
 		info.Limits.Take(now, best.Key())
 	}
+	if info.Holdoffs != nil {
+		info.Holdoffs.Take(now, best.Key())
+	}
 	bestState.lastPicked = now
 	a := &Attempt{
 		Server: *best, Floor: due != nil, Risk: t.currentRisk(now, bestState), EvidenceAge: -1, Started: now,
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -15,6 +15,7 @@
 	Refused        = "refused"
 	BeliefChanged  = "belief about a server changed"
 	BeliefReceived = "belief about a server heard"
+	ServerHoldoff  = "backend server asks for no requests"
 	LimitChanged   = "limit of a backend server"
 	ServerChanged  = "backend server"
 	ConfigApplied  = "configuration in force"
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -37,8 +37,8 @@
 	})
 	took := time.Since(start)
 	outcome := outcomeOf(answer, exchangeOutcome, k.id)
-	if outcome == belief.Good || outcome == belief.Failed || outcome == belief.Shed {
-		e.learnLimit(&a.Server, answer)
+	if answer != nil {
+		e.learnStatements(&a.Server, answer, outcome, start)
 	}
 	e.recordEnd(a, answer, outcome, took)
 	e.recordAttempt(k, a, outcome, took, err)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -22,6 +22,7 @@
 	"bilberrymux/core/belief"
 	"bilberrymux/core/budget"
 	"bilberrymux/core/event"
+	"bilberrymux/core/holdoff"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/poison"
 	"bilberrymux/core/ratelimit"
@@ -63,6 +64,7 @@
 	tracker      *belief.Tracker
 	budget       *budget.Budget
 	limits       *ratelimit.Limits
+	holdoffs     *holdoff.Holdoffs
 	quarantine   *poison.Quarantine
 	backend      *backend.Client
 	store        *platform.Store
@@ -73,6 +75,9 @@
 	// routeCounters holds the number of requests of each route as an *atomic.Uint64 by the
 	// route's name. Routes with several services distribute their requests by this number.
 	routeCounters sync.Map
+	// invalidLoggedAt holds the time.Time of the last log line about an invalid statement of a server by its
+	// ident.ServerID. The servers that are not listed any more are removed.
+	invalidLoggedAt sync.Map
 	// gossipNow triggers a message to the zone before the end of the gossip period.
 	gossipNow chan struct{}
 	crashes   crashLog
@@ -129,7 +134,7 @@
 	e := &Edge{
 		options: o, settings: s, metrics: meter.New(),
 		log:        o.Log.WithField("vm", s.VM),
-		quarantine: poison.New(), limits: ratelimit.New(), fetches: refresh.NewFetches(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
+		quarantine: poison.New(), limits: ratelimit.New(), holdoffs: holdoff.New(), fetches: refresh.NewFetches(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -167,9 +167,10 @@
 }
 
 // noServerKind returns the kind of the refusal if no server can be picked. Servers that are listed
-// were left out because of their limits, or because they drain.
+// were left out because of their limits or pauses, or because they leave.
 func (r *forwardState) noServerKind() refusal.Kind {
-	if r.edge.limits.Count() > 0 && len(r.edge.watcher.Roster().ForService(r.call.service)) > 0 {
+	leaving, paused := r.edge.holdoffs.Counts(time.Now())
+	if r.edge.limits.Count()+leaving+paused > 0 && len(r.edge.watcher.Roster().ForService(r.call.service)) > 0 {
 		return refusal.ServersShed
 	}
 	return refusal.NoServer
@@ -200,6 +201,7 @@
 func (r *forwardState) refuse(kind refusal.Kind) *refusal.Error {
 	e := refusal.New(kind, "%d servers tried", len(r.tried))
 	e.MayHaveRun = r.mayHaveRun > 0 || r.pending > 0
+	r.setRetryAfter(e)
 	return e
 }
 
@@ -209,7 +211,7 @@
 	e, k := r.edge, r.call
 	a := e.tracker.Pick(time.Now(), &belief.PickInfo{
 		Servers: e.watcher.Roster().ForService(k.service), Route: k.route.Name, TargetLatency: k.route.TargetLatency, Idempotent: k.route.Idempotent,
-		Last: r.reached+1 >= k.route.Attempts || e.budget.Balance(time.Now(), k.service) < 1, Tried: r.tried, Limits: e.limits,
+		Last: r.reached+1 >= k.route.Attempts || e.budget.Balance(time.Now(), k.service) < 1, Tried: r.tried, Limits: e.limits, Holdoffs: e.holdoffs,
 	})
 	if a == nil {
 		return nil
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -9,6 +9,7 @@
 	"bilberrymux/core/belief"
 	"bilberrymux/core/catalog"
 	"bilberrymux/core/event"
+	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
 	"bilberrymux/io/meter"
@@ -244,6 +245,13 @@
 func (e *Edge) rosterChanged(now time.Time, r, before *roster.Roster) {
 	e.tracker.Sync(now, r)
 	e.limits.Sync(r)
+	e.holdoffs.Sync(now, r)
+	e.invalidLoggedAt.Range(func(id, _ any) bool {
+		if r.Find(id.(ident.ServerID)) == nil {
+			e.invalidLoggedAt.Delete(id)
+		}
+		return true
+	})
 	listed := map[string]bool{}
 	for i := range r.Servers() {
 		listed[r.Servers()[i].Address] = true
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -19,8 +19,7 @@
 func (e *Edge) learnLimit(s *roster.Server, answer *backend.Answer) {
 	perSecond, limited, err := platform.ParseLimit(&answer.Response.Header)
 	if err != nil {
-		e.count("limits.invalid")
-		e.log.WithError(err).WithField("server", s.ID).Warn("invalid limit of a backend server")
+		e.reportInvalid(s, "limits.invalid", err)
 		return
 	}
 	now := time.Now()
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -47,9 +48,20 @@
 type Arrival struct {
 	ID      string
 	Service string
+	Server  string
 	At      time.Time
 }
 
+// Statement is what a backend server said in its response to a request: that it leaves, or for how long it
+// wants no requests from the daemon that sent it.
+type Statement struct {
+	ID      string
+	Server  string
+	At      time.Time
+	Leaving bool
+	Pause   time.Duration
+}
+
 // Drain is a backend server's report that it is draining.
 type Drain struct {
 	Server string
@@ -72,9 +84,12 @@
 
 // History is everything that was recorded in a run.
 type History struct {
-	Requests         []Request
-	Executions       []Execution
-	Arrivals         []Arrival
+	Requests   []Request
+	Executions []Execution
+	Arrivals   []Arrival
+	Statements []Statement
+	// Starts holds the times at which each daemon's process was started.
+	Starts           map[string][]time.Time
 	Drains           []Drain
 	AcceptedVersions []AcceptedVersion
 	ObservedVersions []ObservedVersion
@@ -99,6 +114,8 @@
 	VersionAppliedInTime Promise = "a version is in force in time"
 	ExtraAttemptBudget   Promise = "budget of further arrivals"
 	ServiceRecovers      Promise = "service recovers"
+	NothingAfterLeaving  Promise = "nothing at a server that says it leaves"
+	NothingInPause       Promise = "nothing at a server that asks for a pause"
 )
 
 // Violation is an observation that contradicts a promise.
@@ -156,6 +173,7 @@
 	c.checkVersionDelay()
 	c.checkExtraAttempts()
 	c.checkRecovery()
+	c.checkStatements()
 	return c.violations
 }
 
@@ -313,3 +331,69 @@
 		c.add(c.FaultsEnded.Add(c.bounds.Recovery), ServiceRecovers, "%d of %d requests served after recovery", served, total)
 	}
 }
+
+// Limits of the requests to a server that asked for a pause.
+const (
+	// pauseDelay is the time from the server's response until its pause is in force.
+	pauseDelay = 500 * time.Millisecond
+	// maxInPause is the number of requests that may reach the server from one daemon in its pause.
+	maxInPause = 2
+)
+
+// checkStatements checks that each daemon keeps to what servers told it: that they leave, and for how long
+// they want no requests. It ignores arrivals if the daemon was restarted or impaired since, or the path to the
+// server was, on which the response may have been lost.
+func (c *checker) checkStatements() {
+	arrivals := map[[2]string][]Arrival{}
+	for _, a := range c.Arrivals {
+		if r := c.requests[a.ID]; r != nil {
+			arrivals[[2]string{a.Server, r.Daemon}] = append(arrivals[[2]string{a.Server, r.Daemon}], a)
+		}
+	}
+	for i := range c.Statements {
+		s := &c.Statements[i]
+		told := c.requests[s.ID]
+		if told == nil {
+			continue
+		}
+		later := arrivals[[2]string{s.Server, told.Daemon}]
+		if s.Leaving {
+			c.checkLeaving(s, told, later)
+		} else {
+			c.checkPause(s, told, later)
+		}
+	}
+}
+
+// excused reports whether a daemon was restarted or impaired, or the path to a server was, between two times.
+func (c *checker) excused(daemon, server string, from, to time.Time) bool {
+	restarted := slices.ContainsFunc(c.Starts[daemon], func(at time.Time) bool { return at.After(from) && at.Before(to) })
+	return restarted || c.Impaired(daemon, from, to) || c.Impaired(server, from, to)
+}
+
+// checkLeaving checks the arrivals at a server from a daemon that has passed on its word that it leaves.
+func (c *checker) checkLeaving(s *Statement, told *Request, arrivals []Arrival) {
+	if told.Status != http.StatusOK {
+		return
+	}
+	for _, a := range arrivals {
+		begun := c.requests[a.ID].Begun
+		if begun.Sub(told.Ended) > c.bounds.DrainDelay && !c.excused(told.Daemon, s.Server, s.At, a.At) {
+			c.add(a.At, NothingAfterLeaving, "%s reached %s from %s, begun %v after it had passed on that the server leaves", a.ID, s.Server, told.Daemon, begun.Sub(told.Ended))
+			return
+		}
+	}
+}
+
+// checkPause checks the arrivals at a server from a daemon in the pause that the server asked for.
+func (c *checker) checkPause(s *Statement, told *Request, arrivals []Arrival) {
+	n, end := 0, s.At.Add(s.Pause)
+	for _, a := range arrivals {
+		if a.At.Sub(s.At) > pauseDelay && a.At.Before(end) {
+			n++
+		}
+	}
+	if n > maxInPause && !c.excused(told.Daemon, s.Server, s.At, end) {
+		c.add(s.At, NothingInPause, "%d requests reached %s from %s in its pause of %v", n, s.Server, told.Daemon, s.Pause)
+	}
+}
--- a/io/soak/check_test.go
+++ b/io/soak/check_test.go
@@ -29,7 +29,21 @@
 	manyRepeats := History{}
 	for n := range 60 {
 		id := fmt.Sprint(n)
-		manyRepeats.Arrivals = append(manyRepeats.Arrivals, Arrival{id, "s", at(1)}, Arrival{id, "s", at(1.1)})
+		manyRepeats.Arrivals = append(manyRepeats.Arrivals, Arrival{id, "s", "s-1", at(1)}, Arrival{id, "s", "s-2", at(1.1)})
+	}
+	requestAt := func(id string, begun float64) Request {
+		r := successfulRequest(id)
+		r.Begun, r.Ended = at(begun), at(begun+0.1)
+		return r
+	}
+	leavingIgnored := History{
+		Requests: []Request{requestAt("r", 1), requestAt("q", 3.2)}, Statements: []Statement{{ID: "r", Server: "s", At: at(1), Leaving: true}},
+		Arrivals: []Arrival{{"r", "v", "s", at(1)}, {"q", "v", "s", at(3.2)}},
+	}
+	pauseIgnored := History{Statements: []Statement{{ID: "r", Server: "s", At: at(1), Pause: time.Second}}}
+	for n, id := range []string{"r", "q", "p", "o"} {
+		pauseIgnored.Requests = append(pauseIgnored.Requests, requestAt(id, 1+0.55*float64(min(n, 1))))
+		pauseIgnored.Arrivals = append(pauseIgnored.Arrivals, Arrival{id, "v", "s", at(1 + 0.55*float64(min(n, 1)))})
 	}
 	for want, h := range map[Promise]History{
 		OwnCompleteResponse:  historyWith(func(r *Request) { r.Complete = false }),
@@ -40,6 +54,8 @@
 		VersionMonotonic:     {ObservedVersions: []ObservedVersion{{"d", 1, 6, at(1)}, {"d", 1, 3, at(2)}}},
 		VersionAppliedInTime: {AcceptedVersions: []AcceptedVersion{{6, at(0)}}, ObservedVersions: []ObservedVersion{{"d", 1, 3, at(-1)}, {"d", 1, 3, at(2.1)}}},
 		ExtraAttemptBudget:   manyRepeats,
+		NothingAfterLeaving:  leavingIgnored,
+		NothingInPause:       pauseIgnored,
 		ServiceRecovers:      {FaultsEnded: at(0), Requests: []Request{{ID: "r", Begun: at(16), Status: 502}}},
 	} {
 		got := map[Promise]bool{}
@@ -60,7 +76,7 @@
 	var fewRepeats []Arrival
 	for n := range 56 {
 		id := fmt.Sprint(n)
-		fewRepeats = append(fewRepeats, Arrival{id, "s", at(1)}, Arrival{id, "s", at(1.1)}, Arrival{id, "t", at(1)})
+		fewRepeats = append(fewRepeats, Arrival{id, "s", "s-1", at(1)}, Arrival{id, "s", "s-2", at(1.1)}, Arrival{id, "t", "t-1", at(1)})
 	}
 	h := History{
 		Requests: []Request{
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -23,6 +23,7 @@
 	{"server fails", failServer},
 	{"service slow", slowService},
 	{"service sheds", shedService},
+	{"server pauses", pauseServer},
 	{"server restarted", restartServer},
 	{"server replaced", replaceServer},
 	{"address used again", reuseAddress},
@@ -228,6 +229,23 @@
 	return nil
 }
 
+// pauseServer makes a backend server reject its requests for the duration d, and ask for no further ones for
+// the time that is left.
+func pauseServer(tb *testbed, r *rand.Rand, d time.Duration) error {
+	s := tb.randomInitialServer(r)
+	tb.addDetail("%s for %v", s.id, d.Round(time.Millisecond))
+	for end := time.Now().Add(d); ; time.Sleep(pauseUpdateInterval) {
+		left := time.Until(end)
+		s.SetPause(max(0, left))
+		if left <= 0 {
+			return nil
+		}
+	}
+}
+
+// pauseUpdateInterval is the interval at which a server that pauses updates the time that is left.
+const pauseUpdateInterval = 20 * time.Millisecond
+
 // maxClockStep is the upper limit, in either direction, of the step of a server's clock while it
 // restarts.
 const maxClockStep = time.Hour
@@ -300,7 +318,11 @@
 	return nil
 }
 
-// replaceServer starts a new backend server and drains it after the duration d. The server keeps
+// maxReportDelay is the maximum time from a server's word that it leaves to its report to the store.
+const maxReportDelay = 4 * time.Second
+
+// replaceServer starts a new backend server. After the duration d the server says that it leaves, and later it
+// reports so to the store. It keeps
 // serving for twice the drain delay, so that requests which it still gets are recorded.
 func replaceServer(tb *testbed, r *rand.Rand, d time.Duration) error {
 	service := r.IntN(len(services))
@@ -311,6 +333,12 @@
 		return err
 	}
 	time.Sleep(d)
+	// The server's own word comes before its report to the store.
+	tb.mu.Lock()
+	server := tb.servers[id]
+	tb.mu.Unlock()
+	server.SetLeaving(true)
+	time.Sleep(time.Duration(r.Float64() * float64(maxReportDelay)))
 	tb.fleet.Drain(id)
 	tb.mu.Lock()
 	tb.drains = append(tb.drains, Drain{Server: id, At: time.Now()})
--- a/io/soak/process.go
+++ b/io/soak/process.go
@@ -33,7 +33,7 @@
 	mu            sync.Mutex
 	cmd           *exec.Cmd
 	exitedChannel chan struct{}
-	starts        int
+	starts        []time.Time
 	stopRequests  []time.Time
 }
 
@@ -42,7 +42,7 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.starts++
+	p.starts = append(p.starts, time.Now())
 	body, err := json.Marshal(p.settings)
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
@@ -51,7 +51,7 @@
 	if err := os.WriteFile(file, body, 0o600); err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
-	out, err := os.Create(filepath.Join(p.folder, fmt.Sprintf("%s-%d.log", p.name, p.starts)))
+	out, err := os.Create(filepath.Join(p.folder, fmt.Sprintf("%s-%d.log", p.name, len(p.starts))))
 	if err != nil {
 		return fmt.Errorf("soak: %w", err)
 	}
@@ -144,5 +144,12 @@
 func (p *process) incarnation() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.starts
+	return len(p.starts)
+}
+
+// startTimes returns the times of all starts.
+func (p *process) startTimes() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]time.Time(nil), p.starts...)
 }
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -275,7 +275,7 @@
 // report collects the history from the callers, the backend servers and the testbed, and checks
 // the promises against it.
 func (tb *testbed) report(callers []*caller, faultsEnded time.Time) *Report {
-	h := &History{FaultsEnded: faultsEnded, Impairments: tb.impairments.snapshot()}
+	h := &History{FaultsEnded: faultsEnded, Impairments: tb.impairments.snapshot(), Starts: map[string][]time.Time{}}
 	r := &Report{Seed: tb.options.Seed, start: tb.start, history: h}
 	for _, c := range callers {
 		h.Requests = append(h.Requests, c.requests...)
@@ -287,8 +287,14 @@
 			h.Executions = append(h.Executions, Execution{run.ID, id, run.At})
 		}
 		for _, arrival := range s.ArrivalLog() {
-			h.Arrivals = append(h.Arrivals, Arrival{arrival.ID, s.service, arrival.At})
+			h.Arrivals = append(h.Arrivals, Arrival{arrival.ID, s.service, id, arrival.At})
 		}
+		for _, said := range s.Statements() {
+			h.Statements = append(h.Statements, Statement{said.ID, id, said.At, said.Leaving, said.Pause})
+		}
+	}
+	for _, p := range tb.daemons {
+		h.Starts[p.name] = p.startTimes()
 	}
 	h.Drains, h.AcceptedVersions, h.ObservedVersions = tb.drains, tb.acceptedVersions, tb.observedVersions
 	for _, request := range h.Requests {
--- a/io/soak/wrong_test.go
+++ b/io/soak/wrong_test.go
@@ -47,6 +47,9 @@
 	// exceedsExtraAttemptBudget sends every idempotent request to two servers, beyond the budget for
 	// extra attempts.
 	exceedsExtraAttemptBudget = "exceedsExtraAttemptBudget"
+	// ignoresLeaving and ignoresPauses read nothing of what servers say about themselves.
+	ignoresLeaving = "ignoresLeaving"
+	ignoresPauses  = "ignoresPauses"
 	// failsPermanently answers every request with 502 after the first failed one.
 	failsPermanently = "failsPermanently"
 )
@@ -254,6 +257,8 @@
 		{revertsVersion, VersionMonotonic, []string{"settings read again"}, 0},
 		{keepsVersion, VersionAppliedInTime, []string{"new version"}, 3 * time.Second},
 		{exceedsExtraAttemptBudget, ExtraAttemptBudget, []string{"settings read again"}, 0},
+		{ignoresLeaving, NothingAfterLeaving, []string{"server replaced"}, 0},
+		{ignoresPauses, NothingInPause, []string{"server pauses"}, 0},
 		{failsPermanently, ServiceRecovers, []string{"server fails", "server restarted"}, 2 * time.Second},
 	} {
 		t.Run(test.kind, func(t *testing.T) {
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -74,6 +74,10 @@
 	endless     atomic.Int64
 	// limit is the value of the header with the server's limit; empty if it names none.
 	limit atomic.Pointer[string]
+	// leaving reports whether the server says that it leaves. pause is the time in nanoseconds for which it
+	// asks for no requests, in place of running them; 0 if it does not.
+	leaving atomic.Bool
+	pause   atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -83,6 +87,23 @@
 	// arrivalLog holds the requests that reached the server, whether or not they ran.
 	arrivalLog []Run
 	bodies     map[string]string
+	statements []Statement
+}
+
+// Statement records that the server said in its response to a request that it leaves, or for how long it
+// wants no requests.
+type Statement struct {
+	ID      string
+	At      time.Time
+	Leaving bool
+	Pause   time.Duration
+}
+
+// Statements returns a copy of all statements in their order.
+func (s *Server) Statements() []Statement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Statement(nil), s.statements...)
 }
 
 // Run records that a request with the given id arrived or started to run at a time.
@@ -152,6 +173,13 @@
 // on. With an empty text it names none.
 func (s *Server) SetLimit(perSecond string) { s.limit.Store(&perSecond) }
 
+// SetLeaving sets whether the server says in its responses that it leaves.
+func (s *Server) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
+
+// SetPause makes the server reject all requests and ask for none for a time, or run them again if the time
+// is 0.
+func (s *Server) SetPause(d time.Duration) { s.pause.Store(int64(d)) }
+
 // SetServiceTime sets how long requests that start from now on take.
 func (s *Server) SetServiceTime(d time.Duration) { s.serviceTime.Store(int64(d)) }
 
@@ -263,6 +291,11 @@
 		return true
 	}
 	s.recordArrival(id)
+	if pause := time.Duration(s.pause.Load()); pause > 0 {
+		s.writeResponse(c, id, 503, "", fmt.Sprintf("Bilberrymux-Not-Executed: 1\r\nRetry-After: %g\r\n", pause.Seconds()))
+		s.recordStatement(Statement{ID: id, At: time.Now(), Pause: pause})
+		return true
+	}
 	fault := *s.fault.Load()
 	switch fault {
 	case ResetBeforeRun:
@@ -285,6 +318,12 @@
 	return s.respond(c, id, fault)
 }
 
+func (s *Server) recordStatement(statement Statement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statements = append(s.statements, statement)
+}
+
 // recordArrival counts and records a request that reached the server.
 func (s *Server) recordArrival(id string) {
 	s.arrivals.Add(1)
@@ -400,6 +439,13 @@
 	if limit := *s.limit.Load(); limit != "" {
 		headers += "Server-Limit: " + limit + "\r\n"
 	}
+	leaving := s.leaving.Load()
+	if leaving {
+		headers += "Server-Leaving: 1\r\n"
+	}
 	fmt.Fprintf(c, "HTTP/1.1 %s\r\nBilberrymux-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		strconv.Itoa(status)+" "+http.StatusText(status), id, headers, len(body), body)
+	if leaving {
+		s.recordStatement(Statement{ID: id, At: time.Now(), Leaving: true})
+	}
 }
