--- a/core/budget/division.go
+++ b/core/budget/division.go
@@ -72,7 +72,7 @@
 	if !v.Owner || !v.Majority || v.Owners == 0 {
 		return part
 	}
-	return part + ownerShare*d.options.Reserve/float64(d.options.Zones*v.Owners)*d.gained(now, service)
+	return part + ownerShare*d.options.Reserve/float64(max(1, d.options.Zones)*v.Owners)*d.gained(now, service)
 }
 
 // gained records that this daemon is an owner, and returns the share of an owner's part that it has.
