--- a/core/holdoff/holdoff_test.go
+++ b/core/holdoff/holdoff_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 
 	"bilberrymux/core/ident"
 	"bilberrymux/core/roster"
+	"bilberrymux/internal/testfiles"
 )
 
 // script plays the lines of a script against Holdoffs.
@@ -79,19 +79,12 @@
 
 // TestHoldoffs plays testdata/holdoffs.txt.
 func TestHoldoffs(t *testing.T) {
-	body, err := os.ReadFile("testdata/holdoffs.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
 	s := &script{holdoffs: New(), now: time.Unix(1000, 0)}
-	for n, line := range strings.Split(string(body), "\n") {
-		if line == "" || strings.HasPrefix(line, "#") {
-			continue
-		}
+	for _, line := range testfiles.Lines(t, "testdata/holdoffs.txt") {
 		command, want, _ := strings.Cut(line, "=")
 		got := s.play(t, strings.Fields(command))
 		if diff := cmp.Diff(strings.TrimSpace(want), got); diff != "" {
-			t.Errorf("line %d, %s (-want +got):\n%s", n+1, line, diff)
+			t.Errorf("%s, %v after the start (-want +got):\n%s", line, s.now.Sub(time.Unix(1000, 0)), diff)
 		}
 	}
 }
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -1,29 +1,19 @@
 package shutdown
 
 import (
-	"bufio"
 	"fmt"
-	"os"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bilberrymux/internal/testfiles"
 )
 
 // TestAccepts plays the requests of testdata/accepts.txt.
 func TestAccepts(t *testing.T) {
-	f, err := os.Open("testdata/accepts.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
 	begin := time.Unix(1_700_000_000, 0)
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		line := lines.Text()
-		if strings.HasPrefix(line, "#") {
-			continue
-		}
+	for _, line := range testfiles.Lines(t, "testdata/accepts.txt") {
 		var end, at, deadline, usual, accepted string
 		if _, err := fmt.Sscan(line, &end, &at, &deadline, &usual, &accepted); err != nil {
 			t.Fatalf("%q: %v", line, err)
--- a/internal/testfiles/testfiles.go
+++ b/internal/testfiles/testfiles.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -39,3 +40,20 @@
 		f(t, value)
 	})
 }
+
+// Lines returns the lines of a script that are neither empty nor comments, which begin with #.
+func Lines(t *testing.T, path string) []string {
+	t.Helper()
+	body, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for line := range strings.Lines(string(body)) {
+		line = strings.TrimSpace(line)
+		if line != "" && !strings.HasPrefix(line, "#") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -119,6 +119,13 @@
 		r.Header.Get("Bilberrymux-Response-Signature") == "s."+r.ID
 }
 
+// read reads the response of a daemon.
+func (r *response) read(resp *http.Response) {
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	r.Status, r.Body, r.Header, r.Err = resp.StatusCode, string(text), resp.Header, err
+}
+
 // send sends one request to a daemon with a new request id and a deadline of 3 s.
 func send(d *Daemon, method, host, path, body string) response {
 	r := response{ID: fmt.Sprintf("id-%d", lastRequestID.Add(1))}
@@ -135,9 +142,7 @@
 		r.Err = err
 		return r
 	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	r.Status, r.Body, r.Header, r.Err = resp.StatusCode, string(text), resp.Header, err
+	r.read(resp)
 	return r
 }
 
@@ -401,9 +406,7 @@
 		r.Err = err
 		return r
 	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	r.Status, r.Body, r.Header, r.Err = resp.StatusCode, string(text), resp.Header, err
+	r.read(resp)
 	return r
 }
 
