refresh: the first daemon that is left after a mass kill reads in time (DRAIN)

When the first daemons of a zone end together, the next ones waited until the list was 1.1 s old and 0.15 s more for each rank: 1.85 s after six of twelve, of a bound of 2 s. Each rank adds 0.075 s now, 1.475 s. TestMassKillLeavesTimeToRead fails before (1.85 s, wants 1.5 s). TestLaterRanksReadLater states the new delays.

--- a/core/refresh/refresh.go
+++ b/core/refresh/refresh.go
@@ -6,8 +6,9 @@
 import "time"
 
 // rankDelay is how much longer each daemon of a zone after the second one waits than the
-// daemon before it.
-const rankDelay = 150 * time.Millisecond
+// daemon before it. Where more than half of a zone's daemons end at once, the first one that
+// is left must still read in time.
+const rankDelay = 75 * time.Millisecond
 
 // Schedule configures how the daemons of a zone take turns in reading one kind of data.
 type Schedule struct {
--- a/core/refresh/refresh_test.go
+++ b/core/refresh/refresh_test.go
@@ -102,9 +102,25 @@
 
 func TestLaterRanksReadLater(t *testing.T) {
 	s := Schedule{Period: 800 * time.Millisecond, SecondDelay: 500 * time.Millisecond}
-	for rank, want := range []time.Duration{800, 1300, 1450, 1600} {
+	for rank, want := range []time.Duration{800, 1300, 1375, 1450} {
 		if got := s.MaxAge(rank); got != want*time.Millisecond {
 			t.Errorf("rank %d: got %v, want %v", rank, got, want*time.Millisecond)
 		}
 	}
 }
+
+// TestMassKillLeavesTimeToRead guards against lists that are read too late to be in force in time when the
+// first daemons of a zone have ended together.
+func TestMassKillLeavesTimeToRead(t *testing.T) {
+	const (
+		limit = 2 * time.Second
+		// margin is the share of the limit that is left for the read, the news of it, and requests under way.
+		margin  = 0.25
+		daemons = 12
+		killed  = daemons * 55 / 100
+	)
+	s := Schedule{Period: 2 * limit / 5, SecondDelay: 300 * time.Millisecond}
+	if got, most := s.MaxAge(killed), time.Duration((1-margin)*float64(limit)); got > most {
+		t.Errorf("the first of %d daemons that is left after %d have ended reads at an age of %v, want at most %v", daemons, killed, got, most)
+	}
+}
