--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -103,16 +103,18 @@
 func (w *Watcher) Roster() *roster.Roster { return w.roster.Load() }
 
 // applyServers updates the list to the revision of the changes, which the store confirmed
-// at the time at. It returns false, and changes nothing, if the list is older than the base
-// of the changes. Changes that are older than the list only confirm it.
+// at the time at. It returns false, and changes nothing, if the list can't be brought up to date by
+// them. Changes that are not newer than the list only confirm it.
 func (w *Watcher) applyServers(now time.Time, c *news.Changes, at time.Time, source string) bool {
 	w.mu.Lock()
-	if c.BaseRevision > w.rows.revision {
+	isNewer := c.Revision > w.rows.revision
+	if c.BaseRevision > w.rows.revision || (isNewer && !w.rows.accepts(c)) {
 		w.mu.Unlock()
 		return false
 	}
 	w.serversConfirmedAt = later(w.serversConfirmedAt, at)
-	if c.Revision < w.rows.revision {
+	if !isNewer {
+		w.readFromStore = w.readFromStore || (source == sourceStore && c.Revision == w.rows.revision)
 		w.mu.Unlock()
 		return true
 	}
--- a/io/discovery/rows.go
+++ b/io/discovery/rows.go
@@ -19,9 +19,10 @@
 	removed map[string]uint64
 	// revision is the version of the store at which the rows were read, or 0 if they never were.
 	revision uint64
-	// completeSince is the revision from which on all removals are known. A daemon does not know
-	// those before its first list.
-	completeSince uint64
+	// exactAt holds, in ascending order, the revisions from which on all changes are known: those at
+	// which the set itself was up to date. Rows that were added and removed between two of them are not
+	// known, nor are removals before the first one.
+	exactAt []uint64
 }
 
 // row is the row of one server. If the value can be decoded, valid is true and
@@ -58,11 +59,38 @@
 	return c
 }
 
-// apply applies changes whose base is not newer than the set. It returns the decoding errors
-// of rows that can't be decoded, by key.
+// accepts reports whether the set is up to date after it applies the changes. Changes with an older base
+// must contain all rows that changed since then, as far as the set knows: what they do not contain is as it
+// was at their base.
+func (s *rowSet) accepts(c *news.Changes) bool {
+	if c.Whole() || c.BaseRevision == s.revision {
+		return true
+	}
+	if c.BaseRevision > s.revision {
+		return false
+	}
+	contains := func(key string) bool {
+		_, changed := c.Servers[key]
+		return changed || slices.Contains(c.Removed, key)
+	}
+	for key, r := range s.rows {
+		if r.revision > c.BaseRevision && !contains(key) {
+			return false
+		}
+	}
+	for key, removedAt := range s.removed {
+		if removedAt > c.BaseRevision && !contains(key) {
+			return false
+		}
+	}
+	return true
+}
+
+// apply applies changes that the set accepts. It returns the decoding errors of rows that can't be decoded,
+// by key.
 func (s *rowSet) apply(c *news.Changes) map[string]error {
-	if s.revision == 0 {
-		s.completeSince = c.Revision
+	if c.Revision > s.revision {
+		s.exactAt = append(s.exactAt, c.Revision)
 	}
 	s.revision = c.Revision
 	decodeErrors := map[string]error{}
@@ -92,7 +120,7 @@
 			}
 		}
 	}
-	s.forgetRemovals()
+	s.forgetHistory()
 	return decodeErrors
 }
 
@@ -104,24 +132,24 @@
 	}
 }
 
-// maxRemovals is the number of removals that are kept, or the number of rows if that is greater.
-const maxRemovals = 1000
+// maxHistory is the number of revisions, and of removals, that are kept. If there are more rows, as many
+// removals are kept.
+const maxHistory = 1000
 
-// forgetRemovals drops the older half of the removals when there are too many. Peers at older
-// revisions then get the whole list.
-func (s *rowSet) forgetRemovals() {
-	if len(s.removed) <= max(maxRemovals, len(s.rows)) {
+// forgetHistory drops the older half of the history when there is too much. Peers with older lists then get
+// the whole list.
+func (s *rowSet) forgetHistory() {
+	if len(s.exactAt) <= maxHistory && len(s.removed) <= max(maxHistory, len(s.rows)) {
 		return
 	}
-	revisions := slices.Sorted(maps.Values(s.removed))
-	s.completeSince = max(s.completeSince, revisions[len(revisions)/2])
-	maps.DeleteFunc(s.removed, func(_ string, removedAt uint64) bool { return removedAt <= s.completeSince })
+	s.exactAt = slices.Clone(s.exactAt[len(s.exactAt)/2:])
+	maps.DeleteFunc(s.removed, func(_ string, removedAt uint64) bool { return removedAt <= s.exactAt[0] })
 }
 
-// since returns the changes after the revision base. It returns the whole list if removals after base
-// may be unknown.
+// since returns the changes after the revision base. It returns the whole list if changes after base may be
+// unknown.
 func (s *rowSet) since(base uint64) *news.Changes {
-	if base < s.completeSince {
+	if _, exact := slices.BinarySearch(s.exactAt, base); !exact {
 		base = 0
 	}
 	c := &news.Changes{BaseRevision: base, Revision: s.revision, Servers: map[string][]byte{}}
