--- a/core/event/event.go
+++ b/core/event/event.go
@@ -20,6 +20,7 @@
 	ServerChanged  = "backend server"
 	ConfigApplied  = "configuration in force"
 	ConfigRead     = "configuration read"
+	StateFetched   = "state fetched from a peer"
 	DaemonUp       = "daemon up"
 	DaemonDown     = "daemon down"
 	StoreLost      = "store lost"
--- a/io/discovery/discovery_test.go
+++ b/io/discovery/discovery_test.go
@@ -40,7 +40,7 @@
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
-	return server, platform.NewStore(address, dial, func(string, string) {})
+	return server, platform.NewStore(address, dial, func(string, string, time.Duration) {})
 }
 
 // TestRelayedConfirmationAgesGrow guards against lists that never expire. Two daemons
--- a/io/discovery/silence_test.go
+++ b/io/discovery/silence_test.go
@@ -69,7 +69,7 @@
 	defer stop()
 	dialer := &silentconn.Dialer{}
 	server.Put(platform.TableConfig, platform.KeyConfig, configRow(1))
-	w := newTestWatcher(t, platform.NewStore(address, dialer.Dial, func(string, string) {}))
+	w := newTestWatcher(t, platform.NewStore(address, dialer.Dial, func(string, string, time.Duration) {}))
 	follow(t, w)
 	waitForVersion(t, w, 1, stableWindow)
 	time.Sleep(500 * time.Millisecond)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -149,8 +149,10 @@
 	e.backend = backend.New(e.dialer(serverDialTimeout), func(reason backend.CloseReason) {
 		e.countBy("connections.closed", "end", string(reason))
 	})
-	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string) {
-		e.metrics.Count(meter.Name("store.calls", meter.Label{Key: "call", Value: call}, meter.Label{Key: "result", Value: result}))
+	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string, took time.Duration) {
+		labels := []meter.Label{{Key: "call", Value: call}, {Key: "result", Value: result}}
+		e.metrics.Count(meter.Name("store.calls", labels...))
+		e.metrics.Observe(meter.Name("store.callMicros", labels...), took)
 	})
 	e.watcher = discovery.New(discovery.Options{
 		Store: e.store, Members: e.members, Log: e.log, DrainDelay: s.Bounds.Drain.Duration(),
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -213,12 +213,17 @@
 		defer e.fetches.End(from.VM)
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
+		started := time.Now()
 		s, err := e.transport.Fetch(ctx, from.PeerAddress, r)
+		took := time.Since(started)
+		log := e.log.WithFields(logrus.Fields{"daemon": from.VM, "tookMillis": took.Milliseconds()})
 		if err != nil {
 			e.count("news.unfetched")
-			e.log.WithError(err).WithField("daemon", from.VM).Warn("failed to fetch state from a peer")
+			log.WithError(err).Warn("failed to fetch state from a peer")
 			return
 		}
+		e.metrics.Observe("news.fetchMicros", took)
+		log.WithFields(logrus.Fields{"version": s.Version, "changes": s.Changes != nil}).Info(event.StateFetched)
 		for _, m := range s.Members {
 			e.members.AddReported(m)
 		}
--- a/io/edge/listen.go
+++ b/io/edge/listen.go
@@ -76,7 +76,9 @@
 	s.edge.count("locates")
 	query := platform.ParseLocate(c.Context().QueryArgs())
 	var addresses []string
-	for _, m := range s.edge.owners(query.Host) {
+	owners := s.edge.owners(query.Host)
+	s.edge.countBy("locates.named", "daemons", strconv.Itoa(len(owners)))
+	for _, m := range owners {
 		addresses = append(addresses, m.CallerAddress)
 	}
 	body, err := platform.FormatLocate(addresses, min(locateLifetime, s.edge.settings.Bounds.LocateLifetime.Duration()))
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -45,8 +45,16 @@
 		service := meter.Label{Key: "service", Value: string(id)}
 		set(meter.Name("budget", service), int64(e.budget.Balance(time.Now(), id)))
 		set(meter.Name("lossPerMille", service), int64(1000*e.tracker.LossRate(time.Now(), id)))
+		e.updateUsage(service, e.tracker.Usage(time.Now(), e.watcher.Roster().ForService(id)))
 	}
 	if e.options.LogDropped != nil {
 		set("log.dropped", e.options.LogDropped())
 	}
 }
+
+// updateUsage sets the gauges of the servers of one service by their use.
+func (e *Edge) updateUsage(service meter.Label, counts map[belief.Use]int) {
+	for _, use := range belief.Uses {
+		e.metrics.Set(meter.Name("servers.use", service, meter.Label{Key: "use", Value: string(use)}), int64(counts[use]))
+	}
+}
