--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -139,7 +139,7 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
 		VM: s.VM, Incarnation: ident.Incarnation(string(s.VM) + "~" + uuid.NewString()[:8]), Zone: s.Zone,
-		PeerAddress: e.peerAddress(), CallerAddress: s.CallerAddress,
+		PeerAddress: e.PeerAddress(), CallerAddress: s.CallerAddress,
 		Capacity: min(s.CPUShare, s.LinkMbps/linkMbpsPerCore),
 	})
 	e.tracker = belief.New(belief.Options{Seed: xxhash.Sum64String(string(s.VM)), Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, OnChange: e.beliefChanged})
@@ -169,8 +169,8 @@
 	return (&netfault.Dialer{Self: string(e.settings.VM), Rules: e.options.Rules, Timeout: timeout}).Dial
 }
 
-// peerAddress returns the address at which this daemon listens for other daemons.
-func (e *Edge) peerAddress() string {
+// PeerAddress returns the address at which this daemon listens for other daemons.
+func (e *Edge) PeerAddress() string {
 	return net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPorts[0]))
 }
 
@@ -179,11 +179,11 @@
 // daemon is ready for callers. The background work ends with the context.
 func (e *Edge) Start(ctx context.Context) error {
 	ctx, e.cancel = context.WithCancel(ctx)
-	peers, err := listener.Listen(e.peerAddress(), e.log)
+	peers, err := listener.Listen(e.PeerAddress(), e.log)
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
-	datagrams, err := net.ListenPacket("udp", e.peerAddress())
+	datagrams, err := net.ListenPacket("udp", e.PeerAddress())
 	if err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
--- a/io/netfault/netfault.go
+++ b/io/netfault/netfault.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,38 +26,79 @@
 	// DelayMillis delays the bytes, in milliseconds. If several rules match, the longest delay
 	// applies.
 	DelayMillis int `json:"delayMillis,omitempty"`
+	// Link names a link whose bandwidth all rules of the same Link share. It may be empty.
+	Link string `json:"link,omitempty"`
+	// BytesPerSecond is the bandwidth of the link. It must be positive if Link is set.
+	BytesPerSecond int `json:"bytesPerSecond,omitempty"`
 }
 
 // Rules is a set of rules that connections look up at every dial, write and read. It is safe for
 // concurrent use. A nil *Rules has no rules.
 type Rules struct {
-	current atomic.Pointer[[]Rule]
+	current atomic.Pointer[ruleSet]
 }
 
-// Set replaces all rules.
+// ruleSet holds rules with their links by name.
+type ruleSet struct {
+	rules []Rule
+	links map[string]*link
+}
+
+// Set replaces all rules. The links of the new rules are idle.
 func (r *Rules) Set(rules []Rule) {
-	r.current.Store(&rules)
+	set := &ruleSet{rules: rules, links: map[string]*link{}}
+	for _, rule := range rules {
+		if rule.Link != "" {
+			set.links[rule.Link] = &link{bytesPerSecond: rule.BytesPerSecond}
+		}
+	}
+	r.current.Store(set)
 }
 
-// effectOn returns whether bytes from one process to another are dropped, and their delay.
-func (r *Rules) effectOn(from, to string) (drop bool, delay time.Duration) {
+// effectOn returns whether bytes from one process to another are dropped, and their delay if there are
+// size bytes, which take their time on the links of the matching rules.
+func (r *Rules) effectOn(from, to string, size int) (drop bool, delay time.Duration) {
 	if r == nil {
 		return false, 0
 	}
-	rules := r.current.Load()
-	if rules == nil {
+	set := r.current.Load()
+	if set == nil {
 		return false, 0
 	}
-	for _, rule := range *rules {
+	for _, rule := range set.rules {
 		if (rule.From != "" && rule.From != from) || (rule.To != "" && rule.To != to) {
 			continue
 		}
 		drop = drop || rule.Drop
 		delay = max(delay, time.Duration(rule.DelayMillis)*time.Millisecond)
+		if l := set.links[rule.Link]; l != nil {
+			delay = max(delay, l.send(time.Now(), size))
+		}
 	}
 	return drop, delay
 }
 
+// link is a link of limited bandwidth, on which bytes wait for those sent before. It is safe for
+// concurrent use.
+type link struct {
+	bytesPerSecond int
+
+	mu sync.Mutex
+	// freeAt is the time at which all bytes sent so far have left.
+	freeAt time.Time
+}
+
+// send returns how long size further bytes take to leave the link.
+func (l *link) send(now time.Time, size int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(size) * time.Second / time.Duration(l.bytesPerSecond))
+	return l.freeAt.Sub(now)
+}
+
 // Dialer opens TCP connections on behalf of one named process.
 type Dialer struct {
 	// Self is the name of the dialling process in the rules.
@@ -84,9 +126,10 @@
 	if d.NameOf != nil {
 		peer = d.NameOf(address)
 	}
-	dropSent, _ := d.Rules.effectOn(d.Self, peer)
-	dropReceived, delay := d.Rules.effectOn(peer, d.Self)
-	if dropSent || dropReceived {
+	dropSent, delaySent := d.Rules.effectOn(d.Self, peer, 0)
+	dropReceived, delayReceived := d.Rules.effectOn(peer, d.Self, 0)
+	delay := delaySent + delayReceived
+	if dropSent || dropReceived || (d.Timeout > 0 && delay >= d.Timeout) {
 		return nil, d.awaitTimeout(ctx, address)
 	}
 	dialer := net.Dialer{Timeout: d.Timeout, KeepAlive: keepAlive, Control: setUserTimeout}
@@ -138,7 +181,7 @@
 // Write sends, delays or drops bytes. Once bytes have been dropped, it drops all further bytes and
 // reports success, since a TCP stream can't continue after a gap.
 func (c *conn) Write(p []byte) (int, error) {
-	drop, delay := c.rules.effectOn(c.self, c.peer)
+	drop, delay := c.rules.effectOn(c.self, c.peer, len(p))
 	if drop {
 		c.writesLost.Store(true)
 	}
@@ -159,7 +202,7 @@
 		if err != nil {
 			return n, err
 		}
-		drop, delay := c.rules.effectOn(c.peer, c.self)
+		drop, delay := c.rules.effectOn(c.peer, c.self, n)
 		if drop {
 			c.readsLost.Store(true)
 		}
--- a/io/standin/gridfleet/gridfleet.go
+++ b/io/standin/gridfleet/gridfleet.go
@@ -55,6 +55,8 @@
 	Log io.Writer
 	// Rules inject faults into the daemons' connections; may be nil.
 	Rules *netfault.Rules
+	// Adjust changes the settings of each daemon before it starts; may be nil.
+	Adjust func(s *settings.Edge)
 	// Grace is the maximum duration of a daemon's planned stop. Zero means three seconds.
 	Grace time.Duration
 }
@@ -207,6 +209,9 @@
 		log.SetFormatter(&logrus.JSONFormatter{})
 	}
 	s := f.Settings(zone, n)
+	if f.options.Adjust != nil {
+		f.options.Adjust(s)
+	}
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
