Peers: data that one daemon has read spreads over the links of all (CONFIG, DRAIN)

Cause: each daemon of a zone fetches what another one announces from that one, at once. Where the daemon that read the list has a link of 10 Mbit/s, 30 whole lists of 80 KB need 2 s of it. All fetches are given up after 1 s and begin anew, its own calls and dials fail meanwhile, and versions wait in the same answers as the lists.

Change: a daemon sends few large replies at a time, by its link's bandwidth, and tells the other peers that it is busy; they come back after 20 to 60 ms, or fetch from those that have got it. A new configuration goes out in the datagrams of the daemon that read it, and two daemons send what is lacking to a peer of their zone that has been behind for 0.3 s. Daemons of the old build get the old replies.

--- a/core/refresh/fetches.go
+++ b/core/refresh/fetches.go
@@ -12,43 +12,92 @@
 	// as well.
 	fetchPatience = 300 * time.Millisecond
 	// maxFetches is the maximum number of fetches at a time.
-	maxFetches = 3
+	maxFetches = 6
+	// minBusyPause and busyPauseSpread bound the random pause after a peer was busy.
+	minBusyPause    = 20 * time.Millisecond
+	busyPauseSpread = 40 * time.Millisecond
 )
 
+// Target names the data that a fetch is to bring.
+type Target struct {
+	// Version is the version of the configuration, and Revision the revision of the list of servers, that
+	// the peer has announced.
+	Version  ident.Version
+	Revision uint64
+}
+
+// includes reports whether data of this target is as new as that of another one.
+func (t Target) includes(o Target) bool {
+	return t.Version >= o.Version && t.Revision >= o.Revision
+}
+
+// fetch is a fetch in progress.
+type fetch struct {
+	startedAt time.Time
+	target    Target
+	cancel    func()
+}
+
 // Fetches decides whether a daemon fetches data from a peer while earlier fetches are in
 // progress, so that a peer which does not answer delays the data of others only by
-// fetchPatience. Fetches is safe for concurrent use.
+// fetchPatience. A slow fetch goes on beside the others until one of them has brought its data.
+// Fetches is safe for concurrent use.
 type Fetches struct {
-	mu sync.Mutex
-	// startedAt holds the start of each fetch in progress by the peer.
-	startedAt map[ident.VMID]time.Time
+	// random returns a number from 0 to 1.
+	random func() float64
+
+	mu       sync.Mutex
+	fetches  map[ident.VMID]fetch
+	notUntil time.Time
 }
 
-// NewFetches returns a Fetches without fetches in progress.
-func NewFetches() *Fetches {
-	return &Fetches{startedAt: map[ident.VMID]time.Time{}}
+// NewFetches returns a Fetches without fetches in progress. random must return numbers from 0 to 1.
+func NewFetches(random func() float64) *Fetches {
+	return &Fetches{random: random, fetches: map[ident.VMID]fetch{}}
 }
 
 // Begin reports whether a fetch from the peer may start now. After each fetch that Begin
-// allowed, End must be called.
-func (f *Fetches) Begin(now time.Time, peer ident.VMID) bool {
+// allowed, Succeed, Busy or Fail must be called. Fetches calls cancel if another fetch has brought the target
+// before.
+func (f *Fetches) Begin(now time.Time, peer ident.VMID, target Target, cancel func()) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, busy := f.startedAt[peer]; busy || len(f.startedAt) >= maxFetches {
+	if _, busy := f.fetches[peer]; busy || len(f.fetches) >= maxFetches || now.Before(f.notUntil) {
 		return false
 	}
-	for _, at := range f.startedAt {
-		if now.Sub(at) < fetchPatience {
+	for _, o := range f.fetches {
+		if now.Sub(o.startedAt) < fetchPatience {
 			return false
 		}
 	}
-	f.startedAt[peer] = now
+	f.fetches[peer] = fetch{now, target, cancel}
 	return true
 }
 
-// End records that the fetch from the peer has ended.
-func (f *Fetches) End(peer ident.VMID) {
+// Succeed records that the fetch from the peer has brought data, and cancels the fetches that would bring
+// nothing newer.
+func (f *Fetches) Succeed(peer ident.VMID, brought Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.fetches, peer)
+	for _, o := range f.fetches {
+		if brought.includes(o.target) {
+			o.cancel()
+		}
+	}
+}
+
+// Busy records that the peer was busy. The next fetch starts after a pause.
+func (f *Fetches) Busy(now time.Time, peer ident.VMID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.fetches, peer)
+	f.notUntil = now.Add(minBusyPause + time.Duration(f.random()*float64(busyPauseSpread)))
+}
+
+// Fail records that the fetch from the peer has failed.
+func (f *Fetches) Fail(peer ident.VMID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.startedAt, peer)
+	delete(f.fetches, peer)
 }
--- a/core/refresh/fetches_test.go
+++ b/core/refresh/fetches_test.go
@@ -8,10 +8,10 @@
 )
 
 func TestSilentPeersDelayFetchesByPatienceOnly(t *testing.T) {
-	f, now := NewFetches(), time.Unix(1000, 0)
+	f, now := NewFetches(func() float64 { return 1 }), time.Unix(1000, 0)
 	begin := func(peer string, want bool) {
 		t.Helper()
-		if got := f.Begin(now, ident.VMID(peer)); got != want {
+		if got := f.Begin(now, ident.VMID(peer), Target{}, func() {}); got != want {
 			t.Errorf("fetch from %s after %v: got %v, want %v", peer, now.Sub(time.Unix(1000, 0)), got, want)
 		}
 	}
@@ -22,12 +22,49 @@
 	begin("silent", false)
 	begin("sound", true)
 	begin("third", false)
-	f.End("sound")
+	f.Fail("sound")
 	begin("third", true)
+	for _, peer := range []string{"fourth", "fifth", "sixth", "seventh"} {
+		now = now.Add(fetchPatience)
+		begin(peer, true)
+	}
 	now = now.Add(fetchPatience)
-	begin("fourth", true)
-	now = now.Add(fetchPatience)
-	begin("fifth", false)
-	f.End("silent")
-	begin("fifth", true)
+	begin("eighth", false)
+	f.Fail("silent")
+	begin("eighth", true)
+}
+
+func TestFetchesOfOldDataAreCancelledOnceNewerDataArrived(t *testing.T) {
+	f, now := NewFetches(func() float64 { return 1 }), time.Unix(1000, 0)
+	cancelled := map[string]bool{}
+	for _, peer := range []struct {
+		name   ident.VMID
+		target Target
+	}{{"old", Target{1, 10}}, {"same", Target{2, 10}}, {"newerList", Target{1, 11}}, {"newerConfig", Target{3, 1}}} {
+		if !f.Begin(now, peer.name, peer.target, func() { cancelled[string(peer.name)] = true }) {
+			t.Fatalf("fetch from %s did not begin", peer.name)
+		}
+		now = now.Add(fetchPatience)
+	}
+	f.Succeed("same", Target{2, 10})
+	for peer, want := range map[string]bool{"old": true, "same": false, "newerList": false, "newerConfig": false} {
+		if cancelled[peer] != want {
+			t.Errorf("fetch from %s cancelled: got %v, want %v", peer, cancelled[peer], want)
+		}
+	}
+}
+
+func TestBusyPeersAreNotAskedAllTheTime(t *testing.T) {
+	f, now := NewFetches(func() float64 { return 1 }), time.Unix(1000, 0)
+	begin := func(want bool) {
+		t.Helper()
+		if got := f.Begin(now, "peer", Target{}, func() {}); got != want {
+			t.Errorf("fetch after %v: got %v, want %v", now.Sub(time.Unix(1000, 0)), got, want)
+		}
+	}
+	begin(true)
+	f.Busy(now, "peer")
+	begin(false)
+	now = now.Add(minBusyPause + busyPauseSpread)
+	begin(true)
 }
--- a/core/zone/zone.go
+++ b/core/zone/zone.go
@@ -172,14 +172,14 @@
 	return out
 }
 
-// Rank returns the position, from 0, of this daemon among the live daemons of its zone.
-// Ready daemons come before those that are not ready, then higher capacity comes first.
+// Rank returns the position, from 0, of this daemon among the live daemons of its zone but
+// the given ones. Ready daemons come before those that are not ready, then higher capacity comes first.
 // Ties are resolved by the rendezvous hash for the key.
-func (t *Table) Rank(key string) int {
+func (t *Table) Rank(key string, without ...ident.VMID) int {
 	self := t.Self()
 	rank := 0
 	for _, m := range t.Live() {
-		if m.ranksBefore(&self, key) {
+		if m.ranksBefore(&self, key) && !slices.Contains(without, m.VM) {
 			rank++
 		}
 	}
--- a/io/discovery/config.go
+++ b/io/discovery/config.go
@@ -30,7 +30,7 @@
 		w.mu.Unlock()
 		return
 	}
-	w.configValue = value
+	w.configValue, w.configChangedAt, w.configFromStore = value, time.Now(), source == sourceStore
 	w.catalog.Store(c)
 	w.mu.Unlock()
 	w.options.Log.WithFields(logrus.Fields{
--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -52,9 +52,13 @@
 	roster  atomic.Pointer[roster.Roster]
 
 	mu sync.Mutex
-	// configValue is the active configuration as encoded in the store.
-	configValue []byte
-	rows        rowSet
+	// configValue is the active configuration as encoded in the store, and configChangedAt the time since
+	// which it is active.
+	configValue     []byte
+	configChangedAt time.Time
+	rows            rowSet
+	// rosterChangedAt is the time of the last change of the list.
+	rosterChangedAt time.Time
 	// configConfirmedAt and serversConfirmedAt are the times of the last known read
 	// from the store that confirmed the current configuration and list, by this
 	// daemon or by a peer.
@@ -63,8 +67,9 @@
 	// from the store. Only the ages of these are sent to peers: an age that is
 	// relayed loses the transit time of each message and would never grow.
 	configReadAt, serversReadAt time.Time
-	// readFromStore reports whether this daemon itself read the current list.
-	readFromStore bool
+	// readFromStore and configFromStore report whether this daemon itself read the current list and the
+	// current configuration.
+	readFromStore, configFromStore bool
 	// feedFrom is the version of the store after which the next call of the
 	// configuration feed asks for changes.
 	feedFrom uint64
@@ -75,6 +80,7 @@
 	// reportedRows holds the keys of the unreadable rows that were already logged.
 	reportedRows map[string]bool
 
+	packer                       *news.Packer
 	calls                        *refresh.Limiter
 	listSchedule, configSchedule refresh.Schedule
 }
@@ -82,7 +88,7 @@
 // New returns a Watcher with an empty configuration and no servers.
 func New(o Options) *Watcher {
 	w := &Watcher{
-		options: o, rows: newRowSet(), reportedRows: map[string]bool{}, calls: refresh.NewLimiter(rand.Float64),
+		options: o, rows: newRowSet(), reportedRows: map[string]bool{}, packer: news.NewPacker(), calls: refresh.NewLimiter(rand.Float64),
 		listSchedule:   schedule(o.DrainDelay, secondReaderDelay),
 		configSchedule: schedule(o.ConfigDelay, secondFollowerDelay),
 	}
@@ -128,6 +134,7 @@
 		return true
 	}
 	w.roster.Store(next)
+	w.rosterChangedAt = now
 	w.mu.Unlock()
 	w.reportUnreadable(decodeErrors)
 	next.Diff(before, func(s *roster.Server, change roster.Change) {
--- a/io/discovery/discovery_test.go
+++ b/io/discovery/discovery_test.go
@@ -61,7 +61,8 @@
 		if w.StateRequestFor(now, &m) == nil {
 			t.Fatal("StateRequestFor returned nil for a newer list")
 		}
-		w.ApplyState(now, reader.StateFor(&news.StateRequest{}), "reader")
+		s, _ := reader.StateFor(&news.StateRequest{})
+		w.ApplyState(now, s, "reader")
 		if _, servers := w.Ages(now); servers > time.Second {
 			t.Fatalf("age of a list that was just read: got %v, want at most 1s", servers)
 		}
--- a/io/discovery/peers.go
+++ b/io/discovery/peers.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"bilberrymux/core/ident"
@@ -66,24 +68,94 @@
 	return time.Duration(n) * time.Millisecond
 }
 
-// StateFor returns the data that the requesting peer lacks.
-func (w *Watcher) StateFor(r *news.StateRequest) *news.State {
+// StateFor returns the data that the requesting peer lacks, and the key of its payload, whose fields are 0 if
+// the peer lacks nothing.
+func (w *Watcher) StateFor(r *news.StateRequest) (*news.State, news.PayloadKey) {
 	config, servers := w.storeAges(time.Now())
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := &news.State{
 		Version: w.catalog.Load().Version, VersionAgeMillis: uint32(config.Milliseconds()), FeedFrom: w.feedFrom,
-		RevisionAgeMillis: uint32(servers.Milliseconds()),
+		Revision: w.rows.revision, RevisionAgeMillis: uint32(servers.Milliseconds()),
 	}
+	var key news.PayloadKey
 	if s.Version > r.Version {
-		s.Config = w.configValue
+		s.Config, key.Version = w.configValue, s.Version
 	}
 	if w.rows.revision > r.Revision {
 		s.Changes = w.rows.since(r.Revision)
+		key.BaseRevision, key.Revision = s.Changes.BaseRevision, s.Changes.Revision
 	}
-	return s
+	return s, key
 }
 
+// Pack moves the data of a state, with the key that StateFor returned, into its payload.
+func (w *Watcher) Pack(s *news.State, key news.PayloadKey) error {
+	packed, err := w.packer.Pack(key, func() *news.Payload { return &news.Payload{Config: s.Config, Changes: s.Changes} })
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	s.Packed, s.Config, s.Changes = packed, nil, nil
+	return nil
+}
+
+// ConfigPayload returns the packed configuration, to be sent in datagrams by the daemon that read it from the
+// store. It returns nil if another daemon read it, if it is older than maxAge, or if it doesn't fit.
+func (w *Watcher) ConfigPayload(now time.Time, maxAge time.Duration) []byte {
+	w.mu.Lock()
+	read, changedAt := w.configFromStore, w.configChangedAt
+	w.mu.Unlock()
+	if !read || now.Sub(changedAt) > maxAge {
+		return nil
+	}
+	return w.datagramPayload(&news.StateRequest{Revision: math.MaxUint64})
+}
+
+// PayloadFor returns packed data that the sender of a message lacks, to be sent in a datagram: all of it, or
+// the configuration alone, or nil if neither fits.
+func (w *Watcher) PayloadFor(m *news.Message) []byte {
+	if all := w.datagramPayload(&news.StateRequest{Version: m.Version, Revision: m.Revision}); all != nil {
+		return all
+	}
+	return w.datagramPayload(&news.StateRequest{Version: m.Version, Revision: math.MaxUint64})
+}
+
+// datagramPayload returns the packed data for a request, or nil if there is none or it doesn't fit a datagram.
+func (w *Watcher) datagramPayload(r *news.StateRequest) []byte {
+	s, key := w.StateFor(r)
+	if key == (news.PayloadKey{}) || (s.Changes != nil && s.Changes.Whole()) {
+		return nil
+	}
+	if err := w.Pack(s, key); err != nil {
+		w.options.Log.WithError(err).Warn("could not pack data for a peer")
+		return nil
+	}
+	if len(s.Packed) > maxDatagramPayloadBytes {
+		return nil
+	}
+	return s.Packed
+}
+
+// DataAge returns the time for which this daemon has had the data that the sender of a message lacks. It
+// reports false if the sender lacks nothing.
+func (w *Watcher) DataAge(now time.Time, m *news.Message) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lacksConfig, lacksList := m.Version < w.catalog.Load().Version, m.Revision < w.roster.Load().Revision
+	switch {
+	case lacksConfig && lacksList:
+		return max(now.Sub(w.configChangedAt), now.Sub(w.rosterChangedAt)), true
+	case lacksConfig:
+		return now.Sub(w.configChangedAt), true
+	case lacksList:
+		return now.Sub(w.rosterChangedAt), true
+	}
+	return 0, false
+}
+
+// maxDatagramPayloadBytes limits the size of the payload of one datagram.
+const maxDatagramPayloadBytes = 4 << 10
+
 // Changes returns the changes of the list after the revision base, to be sent in a
 // datagram. It returns nil if there are none, if they are unknown or don't fit a datagram, or
 // if another daemon read the list.
@@ -109,17 +181,37 @@
 
 // ApplyState updates the configuration and the list from a peer's state.
 func (w *Watcher) ApplyState(now time.Time, s *news.State, from ident.VMID) {
-	source := "peer " + string(from)
-	if len(s.Config) > 0 {
-		w.applyConfig(s.Config, now.Add(-millis(s.VersionAgeMillis)), source)
+	if len(s.Packed) > 0 {
+		w.ApplyPayload(now, s.Packed, s.VersionAgeMillis, s.RevisionAgeMillis, from)
 	}
+	w.applyPayload(now, &news.Payload{Config: s.Config, Changes: s.Changes}, s.VersionAgeMillis, s.RevisionAgeMillis, from)
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if s.Version == w.catalog.Load().Version {
 		w.feedFrom = max(w.feedFrom, s.FeedFrom)
 	}
-	w.mu.Unlock()
-	if s.Changes != nil {
-		w.applyPeerChanges(now, s.Changes, s.RevisionAgeMillis, source)
+}
+
+// ApplyPayload updates the configuration and the list with a packed payload of a peer, which read them from
+// the store versionAgeMillis and revisionAgeMillis milliseconds ago. Payloads that can't be read are counted
+// and dropped.
+func (w *Watcher) ApplyPayload(now time.Time, packed []byte, versionAgeMillis, revisionAgeMillis uint32, from ident.VMID) {
+	p, err := news.Unpack(packed)
+	if err != nil {
+		w.options.Count("news.undecodable")
+		w.options.Log.WithError(err).WithField("daemon", from).Warn("could not read the data of a peer")
+		return
+	}
+	w.applyPayload(now, p, versionAgeMillis, revisionAgeMillis, from)
+}
+
+func (w *Watcher) applyPayload(now time.Time, p *news.Payload, versionAgeMillis, revisionAgeMillis uint32, from ident.VMID) {
+	source := "peer " + string(from)
+	if len(p.Config) > 0 {
+		w.applyConfig(p.Config, now.Add(-millis(versionAgeMillis)), source)
+	}
+	if p.Changes != nil {
+		w.applyPeerChanges(now, p.Changes, revisionAgeMillis, source)
 	}
 }
 
--- a/io/discovery/rows_test.go
+++ b/io/discovery/rows_test.go
@@ -106,7 +106,8 @@
 	if c := started.Changes(base); c != nil {
 		t.Errorf("changes for a datagram from a revision before the daemon's first list: got %+v, want nil", c)
 	}
-	survivor.ApplyState(time.Now(), started.StateFor(&news.StateRequest{Revision: base}), "started")
+	state, _ := started.StateFor(&news.StateRequest{Revision: base})
+	survivor.ApplyState(time.Now(), state, "started")
 	if diff := cmp.Diff(started.Roster().Servers(), survivor.Roster().Servers()); diff != "" {
 		t.Errorf("servers (-sender +receiver):\n%s", diff)
 	}
@@ -192,7 +193,7 @@
 	if c := w.Changes(base); c != nil {
 		t.Errorf("changes of more than a datagram: got %d bytes, want none", len(c.Servers["3"]))
 	}
-	if s := w.StateFor(&news.StateRequest{Revision: base}); s.Changes == nil || len(s.Changes.Servers["3"]) != len(large) {
+	if s, _ := w.StateFor(&news.StateRequest{Revision: base}); s.Changes == nil || len(s.Changes.Servers["3"]) != len(large) {
 		t.Error("the state for a peer lacks the large row")
 	}
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"strconv"
@@ -94,8 +95,11 @@
 	division          *budget.Division
 	reservesUpdatedAt time.Time
 	nextReserve       int
-	// fetches holds the fetches of state from peers that are in progress.
+	// fetches holds the fetches of state from peers that are in progress, replies the large replies to such
+	// fetches, and catchUp the peers that were sent data since they are behind.
 	fetches  *refresh.Fetches
+	replies  *refresh.Replies
+	catchUp  *refresh.CatchUp
 	stopping atomic.Bool
 	// gate rejects the requests that may outlast a planned stop.
 	gate     shutdown.Gate
@@ -121,7 +125,7 @@
 // Timeouts of opening a connection.
 const (
 	serverDialTimeout = 300 * time.Millisecond
-	peerDialTimeout   = 500 * time.Millisecond
+	peerDialTimeout   = fetchTimeout
 	storeDialTimeout  = time.Second
 )
 
@@ -134,7 +138,7 @@
 	e := &Edge{
 		options: o, settings: s, metrics: meter.New(),
 		log:        o.Log.WithField("vm", s.VM),
-		quarantine: poison.New(), limits: ratelimit.New(), holdoffs: holdoff.New(), fetches: refresh.NewFetches(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
+		quarantine: poison.New(), limits: ratelimit.New(), holdoffs: holdoff.New(), fetches: refresh.NewFetches(rand.Float64), replies: refresh.NewReplies(s.LinkMbps), catchUp: refresh.NewCatchUp(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -10,6 +10,7 @@
 	"bilberrymux/core/catalog"
 	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
+	"bilberrymux/core/refresh"
 	"bilberrymux/core/roster"
 	"bilberrymux/core/zone"
 	"bilberrymux/io/meter"
@@ -76,6 +77,7 @@
 	m.Reports = e.tracker.Reports(now, maxReportAge, maxReports)
 	m.Losses = e.tracker.LossReports(now)
 	m.Changes = e.watcher.Changes(e.changesBase(now, m.Revision))
+	m.Packed = e.watcher.ConfigPayload(now, changesLifetime)
 	m.Limits = e.limits.Reports(now, maxLimitReports)
 	e.updateLimitShares(now)
 	e.transport.Send(m, addresses(e.members.Peers()))
@@ -94,7 +96,7 @@
 	return e.sharedRevisions.previous
 }
 
-// changesLifetime is how long a change of the server list is repeated in messages.
+// changesLifetime is how long a change of the server list or of the configuration is repeated in messages.
 const changesLifetime = 500 * time.Millisecond
 
 // triggerGossip requests a message to the zone before the end of the gossip period. It does not
@@ -188,8 +190,14 @@
 	if m.Changes != nil {
 		e.watcher.ApplyChanges(now, m.Changes, m.RevisionAgeMillis, m.From.VM)
 	}
+	if len(m.Packed) > 0 {
+		e.watcher.ApplyPayload(now, m.Packed, m.VersionAgeMillis, m.RevisionAgeMillis, m.From.VM)
+	}
+	if sameZone {
+		e.sendMissingData(now, m)
+	}
 	if request := e.watcher.StateRequestFor(now, m); request != nil {
-		e.fetchState(m.From, request)
+		e.fetchState(m.From, request, refresh.Target{Version: m.Version, Revision: m.Revision})
 	}
 }
 
@@ -200,46 +208,6 @@
 	e.transport.Send(&relayed, addresses(e.members.Live()))
 }
 
-// fetchTimeout bounds one fetch of state from a peer.
-const fetchTimeout = time.Second
-
-// fetchState fetches and applies state that is newer at a peer. It does nothing while as many
-// fetches are in progress as refresh.Fetches allows.
-func (e *Edge) fetchState(from zone.Member, r *news.StateRequest) {
-	if !e.fetches.Begin(time.Now(), from.VM) {
-		return
-	}
-	e.tasks.Go(func() {
-		defer e.fetches.End(from.VM)
-		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-		defer cancel()
-		started := time.Now()
-		s, err := e.transport.Fetch(ctx, from.PeerAddress, r)
-		took := time.Since(started)
-		log := e.log.WithFields(logrus.Fields{"daemon": from.VM, "tookMillis": took.Milliseconds()})
-		if err != nil {
-			e.count("news.unfetched")
-			log.WithError(err).Warn("failed to fetch state from a peer")
-			return
-		}
-		e.metrics.Observe("news.fetchMicros", took)
-		log.WithFields(logrus.Fields{"version": s.Version, "changes": s.Changes != nil}).Info(event.StateFetched)
-		for _, m := range s.Members {
-			e.members.AddReported(m)
-		}
-		e.watcher.ApplyState(time.Now(), s, from.VM)
-	})
-}
-
-// stateForPeer returns the state that a peer requests.
-func (e *Edge) stateForPeer(r *news.StateRequest) *news.State {
-	s := e.watcher.StateFor(r)
-	if r.Members {
-		s.Members = append(e.members.All(), e.members.Self())
-	}
-	return s
-}
-
 // configChanged is called after each change of the active configuration.
 func (e *Edge) configChanged(*catalog.Catalog) {
 	e.triggerGossip()
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -49,6 +49,8 @@
 	Losses []belief.LossReport `cbor:"12,keyasint,omitempty"`
 	// Limits holds what servers said of their limits.
 	Limits []ratelimit.Report `cbor:"13,keyasint,omitempty"`
+	// Packed is a packed Payload, or empty.
+	Packed []byte `cbor:"14,keyasint,omitempty"`
 }
 
 // Changes is the difference between two versions of the list of servers, or a whole list. Rows
@@ -83,6 +85,8 @@
 	Revision uint64        `cbor:"2,keyasint"`
 	// Members also asks for the list of daemons that the peer knows.
 	Members bool `cbor:"3,keyasint,omitempty"`
+	// Unpacks reports whether the requester can read State.Packed, and returns later if the peer is busy.
+	Unpacks bool `cbor:"4,keyasint,omitempty"`
 }
 
 // State is the reply to a StateRequest. It holds the data that the requester lacks,
@@ -103,6 +107,12 @@
 	// FeedFrom is the store version up to which Version is known to be the newest
 	// configuration.
 	FeedFrom uint64 `cbor:"7,keyasint,omitempty"`
+	// Packed is a packed Payload that replaces Config and Changes if the requester can read it.
+	Packed []byte `cbor:"8,keyasint,omitempty"`
+	// Busy reports that the replying daemon sends its data to other peers now. The reply holds none.
+	Busy bool `cbor:"9,keyasint,omitempty"`
+	// Revision is the revision of the replying daemon's list, or 0 if the daemon is of an older build.
+	Revision uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // cborEncoding encodes the messages of the drpc calls as CBOR.
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -8,6 +8,7 @@
 	"net/netip"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -15,7 +16,7 @@
 
 // maxDatagramBytes is the size of the receive buffer. The rest of a larger datagram is
 // dropped.
-const maxDatagramBytes = 8 << 10
+const maxDatagramBytes = 16 << 10
 
 // Options are the dependencies of a Transport. Every function must be set.
 type Options struct {
@@ -25,9 +26,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnMessage is called for each received message, one call at a time.
 	OnMessage func(m *Message)
-	// StateFor returns the state that answers a peer's request. It must be safe for
-	// concurrent use.
-	StateFor func(r *StateRequest) *State
+	// StateFor returns the state that answers a peer's request, and a function that is called once the
+	// connection of the reply is closed. It must be safe for concurrent use.
+	StateFor func(r *StateRequest) (s *State, sent func())
 	// Count increments the named counter.
 	Count func(name string)
 }
@@ -109,9 +110,30 @@
 // Serve answers state requests of peers until the context ends or the listener is
 // closed.
 func (t *Transport) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	var conns conc.WaitGroup
+	defer conns.Wait()
+	for {
+		conn, err := l.Accept()
+		if err != nil && ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("news: %w", err)
+		}
+		conns.Go(func() { t.serveConn(ctx, conn) })
+	}
+}
+
+// serveConn answers the state requests on one connection until it is closed or the context ends.
+func (t *Transport) serveConn(ctx context.Context, conn net.Conn) {
+	s := &stateServer{stateFor: t.options.StateFor}
+	defer s.finish()
 	mux := drpcmux.New()
-	if err := mux.Register(&stateServer{t.options.StateFor}, description{}); err != nil {
-		return fmt.Errorf("news: %w", err)
+	if err := mux.Register(s, description{}); err != nil {
+		panic(err)
 	}
-	return drpcserver.New(mux).Serve(ctx, l)
+	// The error says how the peer closed the connection, which is its own affair.
+	_ = drpcserver.New(mux).ServeOne(ctx, conn)
 }
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -44,7 +44,9 @@
 			return d.DialContext(ctx, "tcp", a)
 		},
 		OnMessage: func(m *Message) { p.received <- m },
-		StateFor:  func(r *StateRequest) *State { return &State{Version: r.Version + 1, Config: []byte("new")} },
+		StateFor: func(r *StateRequest) (*State, func()) {
+			return &State{Version: r.Version + 1, Config: []byte("new")}, func() {}
+		},
 		Count: func(name string) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/io/news/rpc.go
+++ b/io/news/rpc.go
@@ -7,14 +7,26 @@
 	"storj.io/drpc"
 )
 
-// stateServer implements the drpc service that peers call.
+// stateServer implements the drpc service that peers call, for one connection, which carries one call at a
+// time.
 type stateServer struct {
-	stateFor func(r *StateRequest) *State
+	stateFor func(r *StateRequest) (*State, func())
+	// sent holds the functions to call when the connection is closed.
+	sent []func()
 }
 
 // State returns the reply to one state request.
 func (s *stateServer) State(_ context.Context, r *StateRequest) (*State, error) {
-	return s.stateFor(r), nil
+	state, sent := s.stateFor(r)
+	s.sent = append(s.sent, sent)
+	return state, nil
+}
+
+// finish records that the connection is closed, and all replies have been sent.
+func (s *stateServer) finish() {
+	for _, sent := range s.sent {
+		sent()
+	}
 }
 
 // description describes the methods of stateServer to drpc.
--- a/io/soak/wrong_test.go
+++ b/io/soak/wrong_test.go
@@ -90,7 +90,7 @@
 	d.store = platform.NewStore(s.Store, func(ctx context.Context, a string) (net.Conn, error) {
 		var dialer net.Dialer
 		return dialer.DialContext(ctx, "tcp", a)
-	}, func(string, string) {})
+	}, func(string, string, time.Duration) {})
 	metrics := net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort))
 	for address, handler := range map[string]fasthttp.RequestHandler{
 		s.CallerAddress: d.serve, s.ReadyAddress: d.ready, s.LocateAddress: d.locate, metrics: d.metrics,
