discovery: answers of the store count from their calls, and late ones are of use (CONFIG)

A confirmation counted from the arrival of the answer: with a store that needs 0.65 s a daemon and all that hear of it believe to be fresh for 0.65 s longer than they are, so that the next call begins too late. And a call that took longer than 0.7 s (list) or 1.2 s (configuration) was given up each time and begun anew, so that on a slow link or from a slow store none ever ended.

Change: what is read counts as read at the start of its call; a call for changes that was held open without a change as read at the end of that time. After a change the first daemon of a zone asks once more at once, so that the others do not.

--- a/io/discovery/config.go
+++ b/io/discovery/config.go
@@ -41,40 +41,35 @@
 
 // ReadConfig reads the configuration from the store and applies it.
 func (w *Watcher) ReadConfig(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, configPatience+lateCallTimeout)
 	defer cancel()
 	started := time.Now()
 	rows, version, err := w.options.Store.Rows(ctx, platform.TableConfig)
 	if err != nil {
 		return fmt.Errorf("discovery: configuration: %w", err)
 	}
-	w.applyConfigRows(rows, version, started)
+	w.applyConfigRows(rows, version, started, started)
 	return nil
 }
 
 // applyConfigRows applies the configuration contained in rows of the store, if any,
-// and records that the store was read at a version by a call that was started at the
+// and records that the store was read at a version, not before readAt, by a call that was started at the
 // given time.
-func (w *Watcher) applyConfigRows(rows []platform.Row, version uint64, started time.Time) {
-	now := time.Now()
+func (w *Watcher) applyConfigRows(rows []platform.Row, version uint64, started, readAt time.Time) {
 	for _, r := range rows {
 		if r.Key == platform.KeyConfig && !r.Deleted {
 			w.options.Log.WithFields(logrus.Fields{
-				"rowVersion": r.Version, "revision": version, "tookMillis": now.Sub(started).Milliseconds(),
+				"rowVersion": r.Version, "revision": version, "tookMillis": time.Since(started).Milliseconds(),
 			}).Info(event.ConfigRead)
-			w.applyConfig(r.Value, now, sourceStore)
+			w.applyConfig(r.Value, readAt, sourceStore)
 		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.configConfirmedAt, w.configReadAt = later(w.configConfirmedAt, now), now
+	w.configConfirmedAt, w.configReadAt = later(w.configConfirmedAt, readAt), later(w.configReadAt, readAt)
 	w.feedFrom = max(w.feedFrom, version)
 }
 
-// configCallTimeout limits the duration of a call for changes of the configuration, beyond
-// the time for which the store may hold it open.
-const configCallTimeout = 1200 * time.Millisecond
-
 // pollConfig makes one call for changes of the configuration, which the store may hold
 // open for the time wait until there is a change, and applies the result. It reads the
 // whole configuration if no version to start from is known or if the store no longer has
@@ -86,10 +81,10 @@
 	if from == 0 {
 		return w.ReadConfig(ctx)
 	}
-	waiting, cancel := context.WithTimeout(ctx, wait+configCallTimeout)
+	feeding, cancel := context.WithTimeout(ctx, wait+configPatience+lateCallTimeout)
 	defer cancel()
 	started := time.Now()
-	rows, version, err := w.options.Store.Feed(waiting, platform.TableConfig, from, wait)
+	rows, version, err := w.options.Store.Feed(feeding, platform.TableConfig, from, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		w.options.Log.WithField("version", from).Warn("the store no longer has the changes since this version, reading the configuration again")
 		return w.ReadConfig(ctx)
@@ -97,6 +92,18 @@
 	if err != nil {
 		return fmt.Errorf("discovery: feed: %w", err)
 	}
-	w.applyConfigRows(rows, version, started)
+	w.applyConfigRows(rows, version, started, feedReadAt(started, time.Now(), wait, len(rows) > 0))
 	return nil
 }
+
+// feedReadAt returns the earliest time at which the store can have read the answer to a call for changes
+// that it was to hold open for the time wait. It holds a call without changes for that long.
+func feedReadAt(started, answered time.Time, wait time.Duration, changed bool) time.Time {
+	if heldUntil := started.Add(wait); !changed && heldUntil.Before(answered) {
+		return heldUntil
+	}
+	if changed {
+		return started
+	}
+	return answered
+}
--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -81,6 +81,7 @@
 	reportedRows map[string]bool
 
 	packer                       *news.Packer
+	listCalls, configCalls       *callGroup
 	calls                        *refresh.Limiter
 	listSchedule, configSchedule refresh.Schedule
 }
@@ -88,7 +89,8 @@
 // New returns a Watcher with an empty configuration and no servers.
 func New(o Options) *Watcher {
 	w := &Watcher{
-		options: o, rows: newRowSet(), reportedRows: map[string]bool{}, packer: news.NewPacker(), calls: refresh.NewLimiter(rand.Float64),
+		options: o, rows: newRowSet(), reportedRows: map[string]bool{}, packer: news.NewPacker(),
+		listCalls: newCallGroup(o.Store.CloseIdle), configCalls: newCallGroup(o.Store.CloseIdle), calls: refresh.NewLimiter(rand.Float64),
 		listSchedule:   schedule(o.DrainDelay, secondReaderDelay),
 		configSchedule: schedule(o.ConfigDelay, secondFollowerDelay),
 	}
@@ -197,21 +199,19 @@
 	return age(now, w.configReadAt), age(now, w.serversReadAt)
 }
 
-// callTimeout limits the duration of one call of the store.
-const callTimeout = 700 * time.Millisecond
-
 // ReadServers reads the list of servers from the store and applies it.
 func (w *Watcher) ReadServers(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listPatience+lateCallTimeout)
 	defer cancel()
+	started := time.Now()
 	rows, revision, err := w.options.Store.Rows(ctx, platform.TableServers)
 	if err != nil {
 		return fmt.Errorf("discovery: servers: %w", err)
 	}
-	now := time.Now()
-	w.applyServers(now, wholeList(rows, revision), now, sourceStore)
+	// The store may have read the rows at any time since the call.
+	w.applyServers(time.Now(), wholeList(rows, revision), started, sourceStore)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.serversReadAt = now
+	w.serversReadAt = later(w.serversReadAt, started)
 	return nil
 }
--- a/io/discovery/run.go
+++ b/io/discovery/run.go
@@ -48,8 +48,9 @@
 		if servers < w.listSchedule.MaxAge(w.options.Members.Rank(listReaderKey)) || !w.beginCall(now) {
 			return
 		}
-		w.endCall(w.ReadServers(ctx))
+		w.endCall(w.listCalls.do(listPatience, func() error { return w.ReadServers(ctx) }))
 	})
+	w.listCalls.wait()
 }
 
 // FollowConfig keeps the configuration up to date until the context ends. The first
@@ -64,7 +65,7 @@
 			periodic.Sleep(ctx, ageCheckInterval)
 			continue
 		}
-		err := w.pollConfig(ctx, wait)
+		err := w.configCalls.do(wait+configPatience, func() error { return w.pollConfig(ctx, wait) })
 		w.endCall(err)
 		if err != nil && ctx.Err() == nil {
 			w.options.Log.WithError(err).Warn("could not follow the configuration")
@@ -74,6 +75,7 @@
 			periodic.Sleep(ctx, ageCheckInterval)
 		}
 	}
+	w.configCalls.wait()
 }
 
 // configCall returns whether this daemon is to ask the store for changes of the
@@ -81,6 +83,10 @@
 func (w *Watcher) configCall(now time.Time) (wait time.Duration, due bool) {
 	rank := w.options.Members.Rank(configFollowerKey)
 	if rank == 0 && !w.calls.Down() {
+		// A change arrives by a call that began long before. The zone needs a newer confirmation.
+		if config, _ := w.storeAges(now); config >= w.configSchedule.Period/2 {
+			return 0, true
+		}
 		return w.configSchedule.Period, true
 	}
 	config, _ := w.Ages(now)
