--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -94,6 +94,8 @@
 	// evidenceAt is the time of the newest evidence, or of the creation of the state.
 	evidenceAt  time.Time
 	hasEvidence bool
+	// failures counts the failed attempts of all daemons, as far as known, since the last good response.
+	failures int
 	// lastPicked is when this daemon last picked the server for an attempt.
 	lastPicked time.Time
 	// active holds the in-flight attempts of this daemon.
@@ -131,15 +133,18 @@
 	// EvidenceAge is the age of the newest evidence when the server was picked. It is negative
 	// if there was no evidence.
 	EvidenceAge time.Duration
-	// Floor reports whether the server was picked to keep the floor of its service in use,
-	// rather than for its cost.
-	Floor   bool
+	// Floor reports whether the server was picked to keep it in use, rather than for its cost.
+	Floor bool
+	// Probe reports whether the server was doubtful, and picked to find out whether it is sound.
+	Probe   bool
 	Started time.Time
 	route   string
 	// target is the target latency of the route.
 	target time.Duration
 	// crowding is the factor, at least 1, by which the attempts at the server exceed its slots.
 	crowding float64
+	// overdueAt is the time at which Overdue was called, or zero.
+	overdueAt time.Time
 	// overdueRatio is the likelihood ratio that Overdue has applied, or 0.
 	overdueRatio float64
 }
@@ -151,6 +156,7 @@
 	states    map[roster.Key]*state
 	latencies map[string]*latencies
 	lossRates map[ident.ServiceID]*lossRate
+	observer  observer
 	options   Options
 }
 
@@ -170,6 +176,9 @@
 	// between sound and sick. The lock of the Tracker is held during the call, so
 	// OnChange must not call the Tracker.
 	OnChange func(s roster.Server, risk float64, outcome Outcome)
+	// OnSlow is called when the daemon itself becomes slow, so that missing responses are no evidence, and when
+	// it no longer is. It may be nil. The lock of the Tracker is held during the call.
+	OnSlow func(slow bool)
 }
 
 // New returns a Tracker without evidence.
@@ -221,6 +230,11 @@
 	if !isEvidence {
 		return
 	}
+	if o == Good {
+		s.failures = 0
+	} else {
+		s.failures++
+	}
 	s.applyRatio(now, l.sick/l.sound)
 }
 
@@ -231,6 +245,9 @@
 	defer t.mu.Unlock()
 	s := t.state(now, a.Server.Key())
 	s.removeAttempt(a)
+	if a.overdueAt.IsZero() && (o == Good || o == Failed || o == Shed) {
+		t.observe(now, false)
+	}
 	t.recordWaiting(now, s, a, o)
 	s.observe(now, o)
 	switch o {
@@ -238,6 +255,9 @@
 		s.dialFailures, s.unreachableUntil = 0, time.Time{}
 		t.recordLatency(s, a, took)
 	case Unreachable:
+		if t.observer.wasSlow(a.Started, now) {
+			break
+		}
 		s.dialFailures++
 		s.unreachableUntil = now.Add(min(unreachableBackoff<<min(s.dialFailures-1, 8), maxUnreachableBackoff))
 	case Shed:
@@ -249,6 +269,21 @@
 	t.notifyHealthChange(s, a.Server, o)
 }
 
+// observe records an attempt that was answered in time or is overdue, and calls OnSlow if that changes whether this
+// daemon is slow.
+func (t *Tracker) observe(now time.Time, overdue bool) {
+	if t.observer.record(now, overdue) && t.options.OnSlow != nil {
+		t.options.OnSlow(t.observer.slow)
+	}
+}
+
+// Slow reports whether this daemon itself was slow at any time since the given one.
+func (t *Tracker) Slow(now, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.observer.wasSlow(since, now)
+}
+
 // notifyHealthChange calls OnChange if the server changed between sound and sick.
 func (t *Tracker) notifyHealthChange(s *state, server roster.Server, o Outcome) {
 	if health := HealthOf(s.risk); health != s.health {
--- a/core/belief/losses.go
+++ b/core/belief/losses.go
@@ -108,7 +108,7 @@
 }
 
 // RecordRequest records whether a request for a service got a good response. Don't call
-// it for requests with a floor attempt: their losses would cause further floor attempts.
+// it for requests with a probe: their losses would cause further probes.
 func (t *Tracker) RecordRequest(now time.Time, service ident.ServiceID, served bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -113,7 +113,7 @@
 	}
 	bestState.lastPicked = now
 	a := &Attempt{
-		Server: *best, Floor: due != nil, Risk: t.currentRisk(now, bestState), EvidenceAge: -1, Started: now,
+		Server: *best, Floor: due != nil, Probe: due != nil && bestState.isDoubtful(now), Risk: t.currentRisk(now, bestState), EvidenceAge: -1, Started: now,
 		route: info.Route, target: info.TargetLatency, crowding: max(1, float64(bestState.busy(now)+1)/float64(max(1, best.Slots))),
 	}
 	if bestState.hasEvidence {
@@ -176,10 +176,21 @@
 	return cost
 }
 
+// inFlight returns the number of in-flight attempts of this daemon, without those that it delays itself.
+func (s *state) inFlight() int {
+	count := 0
+	for _, a := range s.active {
+		if !a.isDelayed() {
+			count++
+		}
+	}
+	return count
+}
+
 // busy returns the number of in-flight attempts at the server, including those that other daemons
 // report. Expired reports are deleted.
 func (s *state) busy(now time.Time) int {
-	count := len(s.active)
+	count := s.inFlight()
 	for vm, e := range s.remote {
 		if now.Sub(e.at) > remoteAttemptsTTL {
 			delete(s.remote, vm)
--- a/core/belief/reports.go
+++ b/core/belief/reports.go
@@ -75,7 +75,7 @@
 func (s *state) report(now time.Time, key roster.Key) Report {
 	r := Report{
 		ID: key.ID, StartMillis: key.StartMillis, Risk: uint8(math.Round(s.risk * riskScale)),
-		AgeMillis: math.MaxUint32, Active: uint8(min(len(s.active), math.MaxUint8)),
+		AgeMillis: math.MaxUint32, Active: uint8(min(s.inFlight(), math.MaxUint8)),
 	}
 	if s.hasEvidence {
 		r.AgeMillis = uint32(min(max(now.Sub(s.evidenceAt).Milliseconds(), 0), math.MaxUint32))
@@ -107,6 +107,7 @@
 	if s.hasEvidence && !at.After(s.evidenceAt) {
 		return false
 	}
+	s.countReported(at, r.SickProbability())
 	s.risk = min(max(r.SickProbability(), minRisk), maxRisk)
 	s.evidenceAt, s.hasEvidence = at, true
 	health := HealthOf(s.risk)
@@ -115,6 +116,25 @@
 	return changed
 }
 
+// sameEvidenceTime is the time within which two reports may be about the same evidence, by the different
+// durations of their transport.
+const sameEvidenceTime = 100 * time.Millisecond
+
+// countReported counts a failure, or a good response, that another daemon reports by newer evidence of
+// the given time and risk. A higher risk stands for a failure.
+func (s *state) countReported(at time.Time, risk float64) {
+	before := s.riskAt(at)
+	switch {
+	case risk < before:
+		s.failures = 0
+	case risk >= suspectThreshold && at.Sub(s.evidenceAt) > sameEvidenceTime:
+		s.failures++
+	}
+}
+
+// suspectThreshold is the reported risk from which a server has failed.
+const suspectThreshold = 0.15
+
 // View is the health of one server as shown to operators.
 type View struct {
 	ID ident.ServerID `json:"id"`
--- a/core/belief/usage.go
+++ b/core/belief/usage.go
@@ -16,7 +16,7 @@
 	UseRecent Use = "recent"
 	// UseUnreachable means that this daemon avoids the server after a failed connection.
 	UseUnreachable Use = "unreachable"
-	// UseSuspect means that the risk of the server is at least suspectThreshold.
+	// UseSuspect means that the server has failed since its last good response.
 	UseSuspect Use = "suspect"
 	// UseIdle means that nothing keeps requests from the server.
 	UseIdle Use = "idle"
@@ -47,7 +47,7 @@
 		return UseRecent
 	case now.Before(s.unreachableUntil):
 		return UseUnreachable
-	case s.riskAt(now) >= suspectThreshold:
+	case s.failures > 0:
 		return UseSuspect
 	}
 	return UseIdle
--- a/core/belief/waiting.go
+++ b/core/belief/waiting.go
@@ -51,16 +51,32 @@
 	if !s.isActive(a) {
 		return
 	}
+	a.overdueAt = now
+	t.observe(now, true)
+	if t.observer.wasSlow(a.Started, now) {
+		return
+	}
 	a.overdueRatio = max(1, t.waitingRatio(a, now.Sub(a.Started)))
 	s.applyRatio(now, a.overdueRatio)
 	t.notifyHealthChange(s, a.Server, Overdue)
 }
 
+// isDelayed reports whether the attempt is overdue since this daemon is slow.
+func (a *Attempt) isDelayed() bool {
+	return !a.overdueAt.IsZero() && a.overdueRatio == 0
+}
+
 // recordWaiting applies the evidence of the time for which an attempt that ended waited, beyond
 // what Overdue has applied already.
 func (t *Tracker) recordWaiting(now time.Time, s *state, a *Attempt, o Outcome) {
 	age := now.Sub(a.Started)
 	l := t.latenciesOf(a.route)
+	if (o == Silent || o == Neutral) && t.observer.wasSlow(a.Started, now) {
+		if a.overdueRatio > 0 {
+			s.applyRatio(now, 1/a.overdueRatio)
+		}
+		return
+	}
 	switch o {
 	case Good:
 		if a.overdueRatio > 0 {
@@ -73,6 +89,7 @@
 			ratio /= a.overdueRatio
 		}
 		if ratio >= minWaitingRatio {
+			s.failures++
 			s.applyRatio(now, ratio)
 		}
 		if a.overdueRatio > 0 || o == Silent {
@@ -111,6 +128,9 @@
 func (t *Tracker) currentRisk(now time.Time, s *state) float64 {
 	risk := s.riskAt(now)
 	for _, a := range s.active {
+		if t.observer.wasSlow(a.Started, now) {
+			continue
+		}
 		ratio := t.waitingRatio(a, now.Sub(a.Started))
 		if a.overdueRatio > 0 {
 			ratio /= a.overdueRatio
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -25,5 +25,6 @@
 	DaemonDown     = "daemon down"
 	StoreLost      = "store lost"
 	StoreRegained  = "store regained"
+	DaemonSlow     = "this daemon is slow"
 	Quarantined    = "request quarantined"
 )
--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -45,8 +45,8 @@
 // crashCheckTimeout bounds the dial that checks whether a server crashed.
 const crashCheckTimeout = 400 * time.Millisecond
 
-// checkCrash dials a server after an exchange with it broke. If the server is unreachable, the
-// request is recorded as a possible cause of the crash and sent to the zone and to the gateways
+// checkCrash dials a server after an exchange with it broke. If the server is unreachable, and this daemon was not
+// slow itself, the request is recorded as a possible cause of the crash and sent to the zone and to the gateways
 // of the other zones.
 func (e *Edge) checkCrash(k *call, a *belief.Attempt) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
@@ -55,6 +55,10 @@
 		return
 	}
 	now := time.Now()
+	if e.tracker.Slow(now, a.Started) {
+		e.count("crashes.unsure")
+		return
+	}
 	c := news.Crash{Service: k.service, Server: a.Server.ID, Fingerprint: k.fingerprint}
 	e.crashes.add(now, c)
 	e.recordCrashes(now, []news.Crash{c})
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -146,7 +146,7 @@
 		PeerAddress: e.PeerAddress(), CallerAddress: s.CallerAddress,
 		Capacity: min(s.CPUShare, s.LinkMbps/linkMbpsPerCore),
 	})
-	e.tracker = belief.New(belief.Options{Seed: xxhash.Sum64String(string(s.VM)), Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, OnChange: e.beliefChanged})
+	e.tracker = belief.New(belief.Options{Seed: xxhash.Sum64String(string(s.VM)), Zone: s.Zone, Regions: s.Zones, FloorShare: s.Bounds.FloorShare, OnChange: e.beliefChanged, OnSlow: e.slownessChanged})
 	now := time.Now()
 	e.budget = budget.New(now, budgetOptions(s))
 	e.division = budget.NewDivision(now, divisionOptions(s))
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -53,8 +53,8 @@
 	// pending is the number of attempts in flight.
 	pending int
 	cancels map[*belief.Attempt]context.CancelFunc
-	// usedFloor reports whether an attempt was made to keep the floor of the service in use.
-	usedFloor bool
+	// probed reports whether an attempt was made to find out whether a server has recovered.
+	probed bool
 	// withoutBudget reports whether the budget was found exhausted, which is logged once.
 	withoutBudget bool
 }
@@ -79,7 +79,7 @@
 		results: make(chan attemptResult, maxDialFailures+k.route.Attempts+1), cancels: map[*belief.Attempt]context.CancelFunc{},
 	}
 	reply, refused := r.run(ctx)
-	if !r.usedFloor && !leftEarly(k, refused) {
+	if !r.probed && !leftEarly(k, refused) {
 		served := refused == nil && reply.answer.Response.StatusCode() < fasthttp.StatusInternalServerError
 		e.tracker.RecordRequest(time.Now(), k.service, served)
 	}
@@ -217,9 +217,9 @@
 		return nil
 	}
 	r.tried = append(r.tried, a.Server.Key())
-	if a.Floor {
-		r.usedFloor = true
-		// The other daemons of the zone don't pick the server while it is in use.
+	if a.Probe {
+		r.probed = true
+		// The other daemons of the zone don't probe the server while it is in use.
 		e.triggerGossip()
 	}
 	r.pending++
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -123,6 +124,13 @@
 	}
 }
 
+// slownessChanged logs that this daemon has become slow, so that missing responses are no evidence about
+// servers, or that it no longer is.
+func (e *Edge) slownessChanged(slow bool) {
+	e.countBy("slowness.changes", "slow", strconv.FormatBool(slow))
+	e.log.WithField("slow", slow).Warn(event.DaemonSlow)
+}
+
 // sendToOtherZones sends the versions and limits that this daemon knows to the gateways of the other zones
 // if this daemon has rank 0 in its zone.
 func (e *Edge) sendToOtherZones(now time.Time) {
