--- a/core/belief/usage_test.go
+++ b/core/belief/usage_test.go
@@ -14,8 +14,12 @@
 	now := time.Unix(1000, 0)
 	tracker := New(Options{Zone: "a", OnChange: func(roster.Server, float64, Outcome) {}})
 	servers := []*roster.Server{
-		{ID: "recent", Zone: "a"}, {ID: "unreachable", Zone: "a"}, {ID: "suspect", Zone: "a"}, {ID: "idle", Zone: "a"},
-		{ID: "draining", Zone: "a", Draining: true}, {ID: "far", Zone: "b"},
+		{ID: "recent", Zone: "a"},
+		{ID: "unreachable", Zone: "a"},
+		{ID: "suspect", Zone: "a"},
+		{ID: "idle", Zone: "a"},
+		{ID: "draining", Zone: "a", Draining: true},
+		{ID: "far", Zone: "b"},
 	}
 	end := func(server *roster.Server, at time.Time, o Outcome) {
 		a := tracker.Pick(at, &PickInfo{Servers: []*roster.Server{server}, Route: "r", TargetLatency: time.Second})
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -15,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/shard"
 )
 
@@ -33,8 +34,12 @@
 
 // maxBufferedBody is the size in bytes up to which a response body is buffered before
 // any of it is sent to the caller, so that a truncated response can be turned into a
-// refusal. Larger bodies are streamed.
-const maxBufferedBody = 256 << 10
+// refusal. Larger bodies are streamed, and so are those of more than minBufferedBody bytes when the
+// buffers of all exchanges hold as much as they may.
+const (
+	maxBufferedBody = 256 << 10
+	minBufferedBody = 16 << 10
+)
 
 // Client sends requests to servers by address and pools their connections. It is safe
 // for concurrent use.
@@ -43,6 +48,8 @@
 	// that is closed.
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	onClose func(CloseReason)
+	// buffers bounds what the bodies of all exchanges hold beyond minBufferedBody each.
+	buffers *bytebudget.Budget
 
 	mu sync.RWMutex
 	// pools maps addresses to their pools of idle connections.
@@ -52,9 +59,9 @@
 }
 
 // New returns a Client that opens connections by dial, and calls onClose with the
-// reason for each connection that it closes.
-func New(dial func(ctx context.Context, address string) (net.Conn, error), onClose func(CloseReason)) *Client {
-	return &Client{dial: dial, onClose: onClose, pools: map[string]*connPool{}}
+// reason for each connection that it closes. It buffers bodies of responses within the budget.
+func New(dial func(ctx context.Context, address string) (net.Conn, error), onClose func(CloseReason), buffers *bytebudget.Budget) *Client {
+	return &Client{dial: dial, onClose: onClose, buffers: buffers, pools: map[string]*connPool{}}
 }
 
 // Answer is the response of a server. It is not safe for concurrent use.
@@ -332,19 +339,22 @@
 	}
 	length := resp.Header.ContentLength()
 	source := &bodyReader{src: resp.BodyStream(), remaining: int64(length), hasLength: length >= 0}
-	head, err := io.ReadAll(io.LimitReader(source, maxBufferedBody+1))
-	if err != nil {
+	head := &bodyBuffer{budget: c.buffers}
+	err := head.fill(source)
+	switch {
+	case err == io.EOF:
+		head.release()
+		_ = resp.CloseBodyStream()
+		resp.SetBodyRaw(head.bytes)
+		return c.finishBuffered(address, sc, resp, stop)
+	case err != nil:
+		head.release()
 		stop()
 		outcome := failureOutcome(ctx, sc, err)
 		c.closeConn(sc, closeReason(outcome))
 		fasthttp.ReleaseResponse(resp)
 		return nil, outcome, fmt.Errorf("backend: %s: %w", address, err)
 	}
-	if len(head) <= maxBufferedBody {
-		_ = resp.CloseBodyStream()
-		resp.SetBodyRaw(head)
-		return c.finishBuffered(address, sc, resp, stop)
-	}
 	return c.stream(ctx, address, sc, resp, head, source, stop)
 }
 
@@ -383,11 +393,12 @@
 
 // stream returns an answer whose body is read from the connection while the caller
 // reads it. head is the part of the body that was already read, rest the remainder.
-func (c *Client) stream(ctx context.Context, address string, sc *serverConn, resp *fasthttp.Response, head []byte, rest *bodyReader, stop func() bool) (*Answer, shard.Outcome, error) {
-	body := &streamBody{Reader: io.MultiReader(bytes.NewReader(head), rest), source: rest}
+func (c *Client) stream(ctx context.Context, address string, sc *serverConn, resp *fasthttp.Response, head *bodyBuffer, rest *bodyReader, stop func() bool) (*Answer, shard.Outcome, error) {
+	body := &streamBody{Reader: io.MultiReader(bytes.NewReader(head.bytes), rest), source: rest}
 	answer := &Answer{Response: &fasthttp.Response{}, Streamed: true}
 	resp.Header.CopyTo(&answer.Response.Header)
 	body.onClose = func(complete bool) {
+		head.release()
 		reusable := stop() && complete && !sc.mismatched && !resp.ConnectionClose()
 		outcome := shard.Good
 		switch {
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/shard"
 	"bilberrymux/internal/testfiles"
 	"bilberrymux/io/backend"
@@ -112,7 +114,7 @@
 	client := backend.New(func(ctx context.Context, a string) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", a)
-	}, func(reason backend.CloseReason) { reasons = append(reasons, reason) })
+	}, func(reason backend.CloseReason) { reasons = append(reasons, reason) }, bytebudget.New(math.MaxInt64))
 	for i, e := range s.Exchanges {
 		// Unsolicited data of the server needs some time to arrive.
 		time.Sleep(20 * time.Millisecond)
@@ -177,7 +179,7 @@
 	client := backend.New(func(ctx context.Context, a string) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", a)
-	}, func(reason backend.CloseReason) { reasons = append(reasons, reason) })
+	}, func(reason backend.CloseReason) { reasons = append(reasons, reason) }, bytebudget.New(math.MaxInt64))
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
 	req := fasthttp.AcquireRequest()
@@ -203,7 +205,7 @@
 		return d.DialContext(ctx, "tcp", a)
 	}, func(reason backend.CloseReason) {
 		t.Errorf("a connection was closed although none was opened: %s", reason)
-	})
+	}, bytebudget.New(math.MaxInt64))
 	req := fasthttp.AcquireRequest()
 	req.SetRequestURI("http://x/")
 	if _, outcome, _ := client.Do(context.Background(), "127.0.0.1:1", req, backend.Options{}); outcome != shard.DialFailed {
--- a/io/backend/body.go
+++ b/io/backend/body.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"sync"
+
+	"bilberrymux/core/bytebudget"
 )
 
 // bodyReader reads a response body and returns an error that wraps ErrTruncated if the
@@ -69,3 +71,51 @@
 func (b *streamBody) finish() {
 	b.once.Do(func() { b.onClose(b.source.complete) })
 }
+
+// bodyBuffer holds the begin of a body. It is not safe for concurrent use.
+type bodyBuffer struct {
+	bytes  []byte
+	budget *bytebudget.Budget
+	// taken is the number of bytes that the buffer holds of the budget.
+	taken int64
+}
+
+// fill reads until the end of the body, when it returns io.EOF, or until the buffer holds maxBufferedBody
+// bytes or may not grow, when it returns nil.
+func (b *bodyBuffer) fill(body io.Reader) error {
+	b.bytes = make([]byte, 0, minBufferedBody)
+	for {
+		if len(b.bytes) == cap(b.bytes) && !b.grow() {
+			return nil
+		}
+		n, err := body.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		if err == io.EOF && len(b.bytes) > maxBufferedBody {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// grow doubles the capacity, and reports whether it may.
+func (b *bodyBuffer) grow() bool {
+	// One more byte than the limit tells a body of exactly that size from a larger one.
+	size := min(2*cap(b.bytes), maxBufferedBody+1)
+	added := int64(size - cap(b.bytes))
+	if added == 0 || !b.budget.TryTake(added) {
+		return false
+	}
+	b.taken += added
+	larger := make([]byte, len(b.bytes), size)
+	copy(larger, b.bytes)
+	b.bytes = larger
+	return true
+}
+
+// release returns what the buffer holds of the budget.
+func (b *bodyBuffer) release() {
+	b.budget.Return(b.taken)
+	b.taken = 0
+}
--- a/io/backend/silence_test.go
+++ b/io/backend/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/shard"
 	"bilberrymux/internal/silentconn"
 )
@@ -22,7 +24,7 @@
 	go func() { _ = server.Serve(l) }()
 	defer l.Close()
 	dialer := &silentconn.Dialer{}
-	c := New(dialer.Dial, func(CloseReason) {})
+	c := New(dialer.Dial, func(CloseReason) {}, bytebudget.New(math.MaxInt64))
 	do := func(limit time.Duration) shard.Outcome {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
--- a/io/backend/truncated_test.go
+++ b/io/backend/truncated_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/shard"
 )
 
@@ -50,7 +52,7 @@
 			for n := range len(test.answer) {
 				c := New(func(ctx context.Context, address string) (net.Conn, error) {
 					return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-				}, func(CloseReason) {})
+				}, func(CloseReason) {}, bytebudget.New(math.MaxInt64))
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 				req := &fasthttp.Request{}
 				req.SetRequestURI("http://server/")
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/config"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/link"
@@ -156,6 +157,9 @@
 	return dialer.Dial
 }
 
+// answerBufferBytes is the number of bytes that the buffers of answers may hold.
+const answerBufferBytes = 32 << 20
+
 // buildComponents creates the components of the daemon and connects them to each other.
 func (d *Daemon) buildComponents(self member.Entry) {
 	d.store = d.options.Store
@@ -166,7 +170,7 @@
 	d.members = member.New(self, func(*member.Entry) { d.triggerReconcile() })
 	d.backend = backend.New(d.dialer(serverDialTimeout), func(reason backend.CloseReason) {
 		d.count(meter.Name("connections.closed", meter.Label{Key: "end", Value: string(reason)}))
-	})
+	}, bytebudget.New(answerBufferBytes))
 	d.peers = peer.NewClient(d.dialer(peerDialTimeout), d.traffic)
 	d.versions = versions.New(d.store, d.configApplied)
 	d.gossip = gossip.New(gossip.Options{
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -22,6 +22,7 @@
 
 	"bilberrymux/core/belief"
 	"bilberrymux/core/budget"
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/event"
 	"bilberrymux/core/holdoff"
 	"bilberrymux/core/ident"
@@ -60,18 +61,20 @@
 	log      *logrus.Entry
 	metrics  *meter.Set
 
-	members      *zone.Table
-	watcher      *discovery.Watcher
-	tracker      *belief.Tracker
-	budget       *budget.Budget
-	limits       *ratelimit.Limits
-	holdoffs     *holdoff.Holdoffs
-	quarantine   *poison.Quarantine
-	backend      *backend.Client
-	store        *platform.Store
-	transport    *news.Transport
-	callerServer *callerServer
-	infoServer   *infoServer
+	members    *zone.Table
+	watcher    *discovery.Watcher
+	tracker    *belief.Tracker
+	budget     *budget.Budget
+	limits     *ratelimit.Limits
+	holdoffs   *holdoff.Holdoffs
+	quarantine *poison.Quarantine
+	backend    *backend.Client
+	// answerBuffers bounds the bytes of answers that are buffered at the same time.
+	answerBuffers *bytebudget.Budget
+	store         *platform.Store
+	transport     *news.Transport
+	callerServer  *callerServer
+	infoServer    *infoServer
 
 	// routeCounters holds the number of requests of each route as an *atomic.Uint64 by the
 	// route's name. Routes with several services distribute their requests by this number.
@@ -122,6 +125,9 @@
 // Go runtime. The garbage collector runs more often as the heap approaches the limit.
 const memoryLimitShare = 0.6
 
+// answerBufferShare is the share of the VM's memory that the buffers of answers may hold.
+const answerBufferShare = 0.1
+
 // Timeouts of opening a connection.
 const (
 	serverDialTimeout = 300 * time.Millisecond
@@ -140,6 +146,7 @@
 		log:        o.Log.WithField("vm", s.VM),
 		quarantine: poison.New(), limits: ratelimit.New(), holdoffs: holdoff.New(), fetches: refresh.NewFetches(rand.Float64), replies: refresh.NewReplies(s.LinkMbps), catchUp: refresh.NewCatchUp(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
+	e.answerBuffers = bytebudget.New(int64(answerBufferShare * float64(s.MemoryMB) * (1 << 20)))
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
 		VM: s.VM, Incarnation: ident.Incarnation(string(s.VM) + "~" + uuid.NewString()[:8]), Zone: s.Zone,
@@ -152,7 +159,7 @@
 	e.division = budget.NewDivision(now, divisionOptions(s))
 	e.backend = backend.New(e.dialer(serverDialTimeout), func(reason backend.CloseReason) {
 		e.countBy("connections.closed", "end", string(reason))
-	})
+	}, e.answerBuffers)
 	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string, took time.Duration) {
 		labels := []meter.Label{{Key: "call", Value: call}, {Key: "result", Value: result}}
 		e.metrics.Count(meter.Name("store.calls", labels...))
