--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -272,11 +272,30 @@
 // observe records an attempt that was answered in time or is overdue, and calls OnSlow if that changes whether this
 // daemon is slow.
 func (t *Tracker) observe(now time.Time, overdue bool) {
-	if t.observer.record(now, overdue) && t.options.OnSlow != nil {
+	if !t.observer.record(now, overdue) {
+		return
+	}
+	if t.observer.slow {
+		t.withdrawOverdue(now)
+	}
+	if t.options.OnSlow != nil {
 		t.options.OnSlow(t.observer.slow)
 	}
 }
 
+// withdrawOverdue takes back what overdue attempts have said about servers, since this daemon delays them
+// itself.
+func (t *Tracker) withdrawOverdue(now time.Time) {
+	for _, s := range t.states {
+		for _, a := range s.active {
+			if a.overdueRatio > 0 {
+				s.applyRatio(now, 1/a.overdueRatio)
+				a.overdueRatio = 0
+			}
+		}
+	}
+}
+
 // Slow reports whether this daemon itself was slow at any time since the given one.
 func (t *Tracker) Slow(now, since time.Time) bool {
 	t.mu.Lock()
--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -35,7 +35,7 @@
 	degradedIdleJitter = 500 * time.Millisecond
 	// recoveredIdleTime replaces floorIdleTime for a server whose last response was good, but whose risk was
 	// recoveredRisk or more then, since it had failed not long before.
-	recoveredIdleTime = 1200 * time.Millisecond
+	recoveredIdleTime = 2500 * time.Millisecond
 	recoveredRisk     = 0.1
 	// failedIdleTime is how long a server may be idle after its first failure while the service is not
 	// degraded. It doubles with each further failure in a row, up to maxFailedIdleTime.
--- a/core/belief/observer.go
+++ b/core/belief/observer.go
@@ -1,21 +1,17 @@
 package belief
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // The parameters of an observer.
 const (
-	// observerDecayTime is the time constant with which past attempts decay.
-	observerDecayTime = 500 * time.Millisecond
-	// minObservedAttempts is the decayed number of attempts below which an observer is not slow.
-	minObservedAttempts = 4
+	// observerWeight is the weight of one attempt in the moving average of the overdue ones. Eight overdue
+	// attempts in a row make an observer slow.
+	observerWeight = 0.15
 	// slowShare is the share of overdue attempts from which an observer is slow, and timelyShare the one
 	// below which it is no longer.
 	slowShare   = 0.7
 	timelyShare = 0.4
-	// slowLookback is the time before the first overdue attempts from which attempts may have been
+	// slowLookback is the time before an observer is found slow from which attempts may have been
 	// delayed.
 	slowLookback = time.Second
 )
@@ -24,10 +20,9 @@
 // nearly all servers of all services. Then a missing response is no evidence about a server. An observer
 // that mistakes most servers for sick would spoil the estimates of all daemons of its zone.
 type observer struct {
-	// timely and overdue are the decayed numbers of attempts, at the time at.
-	timely, overdue float64
-	at              time.Time
-	slow            bool
+	// overdue is the moving average of the share of overdue attempts.
+	overdue float64
+	slow    bool
 	// slowFrom and slowTo are the begin and the end so far of the last time for which the observer was
 	// slow.
 	slowFrom, slowTo time.Time
@@ -36,18 +31,15 @@
 // record records that an attempt was answered in time, or that it is overdue. It reports whether the observer
 // has become slow, or is no longer.
 func (o *observer) record(now time.Time, overdue bool) (changed bool) {
-	decay := math.Exp(-float64(now.Sub(o.at)) / float64(observerDecayTime))
-	o.timely, o.overdue, o.at = o.timely*decay, o.overdue*decay, now
+	o.overdue *= 1 - observerWeight
 	if overdue {
-		o.overdue++
-	} else {
-		o.timely++
+		o.overdue += observerWeight
 	}
-	before, total := o.slow, o.timely+o.overdue
+	before := o.slow
 	switch {
-	case o.overdue < timelyShare*total:
+	case o.overdue < timelyShare:
 		o.slow = false
-	case total >= minObservedAttempts && o.overdue >= slowShare*total:
+	case o.overdue >= slowShare:
 		o.slow = true
 	}
 	if o.slow && !before {
