--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -41,7 +41,7 @@
 		e.learnStatements(&a.Server, answer, outcome, start)
 	}
 	e.recordEnd(a, answer, outcome, took)
-	e.recordAttempt(k, a, outcome, took, err)
+	e.recordAttempt(k, attemptResult{a, outcome, answer, err}, took)
 	if outcome == belief.Broken {
 		e.tasks.Go(func() { e.checkCrash(k, a) })
 	}
@@ -78,17 +78,21 @@
 
 // recordAttempt counts the outcome of an attempt, and logs the attempt unless the outcome is
 // Good.
-func (e *Edge) recordAttempt(k *call, a *belief.Attempt, o belief.Outcome, took time.Duration, err error) {
-	e.countBy("attempts", "outcome", string(o))
-	if o == belief.Good {
+func (e *Edge) recordAttempt(k *call, result attemptResult, took time.Duration) {
+	a := result.attempt
+	e.countBy("attempts", "outcome", string(result.outcome))
+	if result.outcome == belief.Good {
 		return
 	}
 	fields := logrus.Fields{
-		"request": k.id, "route": k.route.Name, "service": k.service, "server": a.Server.ID, "outcome": o,
+		"request": k.id, "route": k.route.Name, "service": k.service, "server": a.Server.ID, "outcome": result.outcome,
 		"risk": a.Risk, "evidenceAgeMillis": a.EvidenceAge.Milliseconds(), "floor": a.Floor, "tookMillis": took.Milliseconds(),
 	}
-	if err != nil {
-		fields["error"] = err.Error()
+	if result.err != nil {
+		fields["error"] = result.err.Error()
+	}
+	if result.answer != nil {
+		fields["response"] = platform.SummarizeResponse(&result.answer.Response.Header)
 	}
 	e.log.WithFields(fields).Warn(event.AttemptFailed)
 }
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -256,6 +256,7 @@
 // recordOutcome updates the counts of attempts and the kind of refusal with the outcome of an
 // attempt.
 func (r *forwardState) recordOutcome(result attemptResult) {
+	r.call.outcomes = append(r.call.outcomes, result.outcome)
 	switch result.outcome {
 	case belief.Unreachable:
 		r.dialFailures++
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/belief"
 	"bilberrymux/core/catalog"
 	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
@@ -62,6 +63,8 @@
 	// only.
 	request     *fasthttp.Request
 	fingerprint ident.Fingerprint
+	// outcomes holds the outcomes of the attempts that have ended.
+	outcomes []belief.Outcome
 }
 
 // serve handles one request.
@@ -194,12 +197,13 @@
 		took := time.Since(k.received)
 		s.edge.observeLatency(k, "refused", took)
 		fields["request"], fields["route"], fields["service"] = k.id, k.route.Name, k.service
-		fields["version"], fields["tookMillis"] = k.version, took.Milliseconds()
+		fields["version"], fields["tookMillis"], fields["outcomes"] = k.version, took.Milliseconds(), k.outcomes
 	} else {
 		fields["request"] = string(c.Request().Header.Peek(platform.HeaderRequestID))
 	}
-	s.edge.log.WithFields(fields).Warn(event.Refused)
 	status := statusOf(r)
+	fields["status"] = status
+	s.edge.log.WithFields(fields).Warn(event.Refused)
 	c.Status(status)
 	if pause := refusalhttp.RetryAfterOf(r); platform.PromisesNotExecuted(status) && pause > 0 {
 		c.Set(fiber.HeaderRetryAfter, platform.FormatRetryAfter(pause))
--- a/io/edge/further.go
+++ b/io/edge/further.go
@@ -73,6 +73,7 @@
 	r.edge.countBy("further", "reason", reason)
 	r.edge.log.WithFields(logrus.Fields{
 		"request": r.call.id, "service": r.call.service, "reason": reason, "tried": len(r.tried),
+		"idempotent": r.call.route.Idempotent, "version": r.call.version, "versionInForce": r.edge.Version(),
 	}).Info(event.FurtherAttempt)
 }
 
