--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -29,14 +29,8 @@
 		e.triggerGossip()
 	})
 	defer overdue.Stop()
-	answer, exchangeOutcome, err := e.backend.Do(ctx, a.Server.Address, req, backend.Options{
-		AvoidStale: !k.route.Idempotent,
-		IsMismatched: func(h *fasthttp.ResponseHeader) bool {
-			return platform.ClassifyResponse(h, k.id) == platform.WrongRequest
-		},
-	})
+	answer, outcome, err := e.exchange(ctx, a.Server.Address, req, k.id, !k.route.Idempotent)
 	took := time.Since(start)
-	outcome := outcomeOf(answer, exchangeOutcome, k.id)
 	if answer != nil {
 		e.learnStatements(&a.Server, answer, outcome, start)
 	}
@@ -52,6 +46,17 @@
 	return attemptResult{a, outcome, answer, err}
 }
 
+// exchange sends a request with the given id to a server and returns the answer, if any, and the outcome.
+func (e *Edge) exchange(ctx context.Context, address string, req *fasthttp.Request, id string, avoidStale bool) (*backend.Answer, belief.Outcome, error) {
+	answer, outcome, err := e.backend.Do(ctx, address, req, backend.Options{
+		AvoidStale: avoidStale,
+		IsMismatched: func(h *fasthttp.ResponseHeader) bool {
+			return platform.ClassifyResponse(h, id) == platform.WrongRequest
+		},
+	})
+	return answer, outcomeOf(answer, outcome, id), err
+}
+
 // mayBePassedOn reports whether a caller may get the answer of an attempt. An answer whose status promises
 // that the request did not run is not passed on: the server may have run it, or another one may yet.
 func mayBePassedOn(answer *backend.Answer, o belief.Outcome) bool {
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -20,7 +20,7 @@
 }
 
 var faults = []fault{
-	{"server fails", failServer},
+	{"server fails", func(tb *testbed, r *rand.Rand, d time.Duration) error { return failServer(tb, r, d, serverFaults) }},
 	{"service slow", slowService},
 	{"service sheds", shedService},
 	{"server pauses", pauseServer},
@@ -48,6 +48,9 @@
 		tb.configure()
 		return nil
 	}},
+	{"server contradicts itself", func(tb *testbed, r *rand.Rand, d time.Duration) error {
+		return failServer(tb, r, d, gridserver.ContradictoryRefusals())
+	}},
 }
 
 // FaultNames returns the names of all kinds of faults.
@@ -182,10 +185,10 @@
 	gridserver.EndlessHead, gridserver.EndlessBody,
 }
 
-// failServer makes a backend server fail its requests in one way for the duration d.
-func failServer(tb *testbed, r *rand.Rand, d time.Duration) error {
+// failServer makes a backend server fail its requests in one of the given ways for the duration d.
+func failServer(tb *testbed, r *rand.Rand, d time.Duration, ways []gridserver.Fault) error {
 	s := tb.randomInitialServer(r)
-	f := serverFaults[r.IntN(len(serverFaults))]
+	f := ways[r.IntN(len(ways))]
 	tb.addDetail("%s %s", s.id, f)
 	s.SetFault(f)
 	time.Sleep(d)
