core/attempts: the permission to repeat a request holds at the start of each attempt (TWICE)

The decision over the attempts of a request was spread over io/edge; it is core/attempts now, without I/O, and each start asks it.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/attempts"
 	"bilberrymux/core/belief"
 	"bilberrymux/core/budget"
 	"bilberrymux/core/ident"
@@ -73,9 +74,10 @@
 // refused for its deadline, whether the timeout of the attempt or the deadline of the request
 // is seen first.
 func TestSilentServerIsRefusedAsDeadline(t *testing.T) {
-	r := &forwardState{}
-	r.recordOutcome(attemptResult{outcome: belief.Silent})
-	got := r.refuse(r.refusalKind)
+	r := &forwardState{log: attempts.New(attempts.Options{MaxRuns: 2})}
+	r.log.Start()
+	r.log.End(belief.Silent)
+	got := r.refuse(r.log.RefusalKind())
 	if diff := cmp.Diff(&refusal.Error{Kind: refusal.DeadlineRunning, Detail: "0 servers tried", MayHaveRun: true}, got); diff != "" {
 		t.Errorf("refusal mismatch (-want +got):\n%s", diff)
 	}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/attempts"
 	"bilberrymux/core/belief"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
@@ -33,26 +35,19 @@
 type forwardState struct {
 	edge *Edge
 	call *call
+	// log holds the attempts so far.
+	log *attempts.Log
 	// tried lists the servers that were picked for the request.
 	tried []roster.Key
-	// reached counts the attempts that reached a server, and mayHaveRun those of them that the
-	// server may have run.
-	reached, mayHaveRun int
-	// dialFailures counts the attempts that failed to connect.
-	dialFailures int
 	// errorReply is the last error response of a server. The caller gets it if no other attempt
 	// returns a response that is not a server error.
 	errorReply *serverReply
-	// refusalKind is the kind of the refusal if no attempt brings a response.
-	refusalKind refusal.Kind
 	// results has room for the results of all attempts, so that deliver never blocks.
 	results chan attemptResult
 	// mu guards released, which reports that nobody receives results any more.
 	mu       sync.Mutex
 	released bool
-	// pending is the number of attempts in flight.
-	pending int
-	cancels map[*belief.Attempt]context.CancelFunc
+	cancels  map[*belief.Attempt]context.CancelFunc
 	// probed reports whether an attempt was made to find out whether a server has recovered.
 	probed bool
 	// withoutBudget reports whether the budget was found exhausted, which is logged once.
@@ -74,11 +69,13 @@
 		return nil, refusal.New(refusal.Poison, "")
 	}
 	e.budget.Deposit(time.Now(), k.service)
+	o := attempts.Options{Idempotent: k.route.Idempotent, MaxRuns: k.route.Attempts}
 	r := &forwardState{
-		edge: e, call: k, refusalKind: refusal.NoServer,
-		results: make(chan attemptResult, maxDialFailures+k.route.Attempts+1), cancels: map[*belief.Attempt]context.CancelFunc{},
+		edge: e, call: k, log: attempts.New(o),
+		results: make(chan attemptResult, o.MaxAttempts()), cancels: map[*belief.Attempt]context.CancelFunc{},
 	}
 	reply, refused := r.run(ctx)
+	k.outcomes = r.log.Outcomes()
 	if !r.probed && !leftEarly(k, refused) {
 		served := refused == nil && reply.answer.Response.StatusCode() < fasthttp.StatusInternalServerError
 		e.tracker.RecordRequest(time.Now(), k.service, served)
@@ -142,14 +139,13 @@
 	}
 	hedge := time.NewTimer(r.hedgeDelay(first))
 	defer hedge.Stop()
-	for r.pending > 0 {
+	for r.log.Pending() > 0 {
 		select {
 		case result := <-r.results:
-			r.pending--
 			if reply := r.handleResult(result); reply != nil {
 				return reply, nil
 			}
-			if r.pending == 0 && r.allowRetry(result) {
+			if r.allowRetry(result) {
 				r.startAttempt(ctx)
 			}
 		case <-hedge.C:
@@ -163,7 +159,7 @@
 			return r.end(r.timeoutKind(ctx))
 		}
 	}
-	return r.end(r.refusalKind)
+	return r.end(r.log.RefusalKind())
 }
 
 // noServerKind returns the kind of the refusal if no server can be picked. Servers that are listed
@@ -187,31 +183,30 @@
 
 // timeoutKind returns the kind of the refusal after the context ended.
 func (r *forwardState) timeoutKind(ctx context.Context) refusal.Kind {
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return refusal.CallerDisconnected
-	case r.pending > 0 || r.mayHaveRun > 0:
-		return refusal.DeadlineRunning
 	}
-	return refusal.DeadlineInQueue
+	return r.log.TimeoutKind()
 }
 
 // refuse returns a refusal of the given kind. It is marked as possibly run if any attempt may
 // have run or is still in flight.
 func (r *forwardState) refuse(kind refusal.Kind) *refusal.Error {
-	e := refusal.New(kind, "%d servers tried", len(r.tried))
-	e.MayHaveRun = r.mayHaveRun > 0 || r.pending > 0
+	e := r.log.Refusal(kind, fmt.Sprintf("%d servers tried", len(r.tried)))
 	r.setRetryAfter(e)
 	return e
 }
 
 // startAttempt picks a server and sends the request to it in a new goroutine. It returns nil
-// if no server can be picked.
+// if no server can be picked, or the request must not run once more.
 func (r *forwardState) startAttempt(ctx context.Context) *belief.Attempt {
 	e, k := r.edge, r.call
+	if !r.log.MayStart() {
+		return nil
+	}
 	a := e.tracker.Pick(time.Now(), &belief.PickInfo{
 		Servers: e.watcher.Roster().ForService(k.service), Route: k.route.Name, TargetLatency: k.route.TargetLatency, Idempotent: k.route.Idempotent,
-		Last: r.reached+1 >= k.route.Attempts || e.budget.Balance(time.Now(), k.service) < 1, Tried: r.tried, Limits: e.limits, Holdoffs: e.holdoffs,
+		Last: r.log.Last() || e.budget.Balance(time.Now(), k.service) < 1, Tried: r.tried, Limits: e.limits, Holdoffs: e.holdoffs,
 	})
 	if a == nil {
 		return nil
@@ -222,7 +217,7 @@
 		// The other daemons of the zone don't probe the server while it is in use.
 		e.triggerGossip()
 	}
-	r.pending++
+	r.log.Start()
 	child, cancel := context.WithCancel(ctx)
 	r.cancels[a] = cancel
 	go func() { r.deliver(e.attempt(child, k, a)) }()
@@ -232,12 +227,12 @@
 // handleResult records the result of an attempt. It returns the response for the caller, or nil
 // if the attempt brought none or another attempt may bring a better one.
 func (r *forwardState) handleResult(result attemptResult) *serverReply {
-	r.recordOutcome(result)
+	r.log.End(result.outcome)
 	if result.answer == nil {
 		return nil
 	}
 	reply := &serverReply{
-		answer: result.answer, attempt: result.attempt, server: result.attempt.Server.ID, attempts: r.reached,
+		answer: result.answer, attempt: result.attempt, server: result.attempt.Server.ID, attempts: r.log.Reached(),
 		risk: result.attempt.Risk, evidenceAge: result.attempt.EvidenceAge,
 	}
 	switch result.outcome {
@@ -252,27 +247,3 @@
 	}
 	return nil
 }
-
-// recordOutcome updates the counts of attempts and the kind of refusal with the outcome of an
-// attempt.
-func (r *forwardState) recordOutcome(result attemptResult) {
-	r.call.outcomes = append(r.call.outcomes, result.outcome)
-	switch result.outcome {
-	case belief.Unreachable:
-		r.dialFailures++
-		r.refusalKind = refusal.ServersUnreachable
-	case belief.Shed, belief.Misdirected:
-		r.reached++
-		r.refusalKind = refusal.ServersShed
-	case belief.Silent:
-		// The timeout of the attempt and the deadline of the request expire at the same time,
-		// and either may be seen first. The refusal is the same in both cases.
-		r.reached++
-		r.mayHaveRun++
-		r.refusalKind = refusal.DeadlineRunning
-	case belief.Good, belief.Failed, belief.Broken, belief.Neutral:
-		r.reached++
-		r.mayHaveRun++
-		r.refusalKind = refusal.ServerFailed
-	}
-}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -105,13 +105,9 @@
 		return nil, refusal.New(refusal.NotReady, "")
 	}
 	header := &c.Request().Header
-	path := string(header.RequestURI())
-	if i := strings.IndexByte(path, '?'); i >= 0 {
-		path = path[:i]
-	}
-	route := cat.Match(string(header.Host()), path)
+	route := matchRoute(cat, header)
 	if route == nil {
-		return nil, refusal.New(refusal.NoRoute, "%s %s, version %d", header.Host(), path, cat.Version)
+		return nil, refusal.New(refusal.NoRoute, "%s %s, version %d", header.Host(), pathOf(header), cat.Version)
 	}
 	if limit := cat.Limits.BodyBytes; limit > 0 && len(c.Request().Body()) > limit {
 		return nil, refusal.New(refusal.BodyTooLarge, "%d bytes, the limit is %d", len(c.Request().Body()), limit)
@@ -137,6 +133,17 @@
 	return k, nil
 }
 
+// matchRoute returns the route of a request, or nil if there is none.
+func matchRoute(cat *catalog.Catalog, header *fasthttp.RequestHeader) *catalog.Route {
+	return cat.Match(string(header.Host()), pathOf(header))
+}
+
+// pathOf returns the request target without its query.
+func pathOf(header *fasthttp.RequestHeader) string {
+	path, _, _ := strings.Cut(string(header.RequestURI()), "?")
+	return path
+}
+
 // outgoingRequest returns a copy of the request for the servers, without the headers that apply
 // to a single connection. The request target is the same as the caller's, byte for byte.
 func outgoingRequest(c *fiber.Ctx) *fasthttp.Request {
--- a/io/edge/further.go
+++ b/io/edge/further.go
@@ -5,38 +5,39 @@
 
 	"github.com/sirupsen/logrus"
 
+	"bilberrymux/core/attempts"
 	"bilberrymux/core/belief"
 	"bilberrymux/core/event"
 )
 
-// maxDialFailures is the maximum number of servers to which one request may fail to connect.
-const maxDialFailures = 4
-
 // hedgeRetryDelay is the time after which a hedged attempt is tried again if the budget was
 // exhausted.
 const hedgeRetryDelay = 50 * time.Millisecond
 
-// allowRetry reports whether the request is sent to one more server after a failed attempt.
+// allowRetry reports whether the request is sent to one more server after an attempt ended without a response.
 // Each call that returns true records a further attempt. It also takes a token from the budget,
 // unless the attempt failed to connect.
 func (r *forwardState) allowRetry(result attemptResult) bool {
-	if result.outcome == belief.Unreachable {
-		if r.dialFailures < maxDialFailures {
-			r.recordFurtherAttempt(string(result.outcome))
-			return true
-		}
-		return false
-	}
-	if r.mayHaveRun > 0 && !r.call.route.Idempotent {
-		return false
-	}
-	if !r.hasTimeForAttempt() {
+	r.checkRoute()
+	switch r.log.Retry(result.outcome) {
+	case attempts.Allowed:
+		r.recordFurtherAttempt(string(result.outcome))
+		return true
+	case attempts.AllowedByBudget:
+		return r.hasTimeForAttempt() && r.takeBudget(string(result.outcome))
+	default:
 		return false
 	}
-	if r.reached >= r.call.route.Attempts+1 || r.mayHaveRun >= r.call.route.Attempts {
-		return false
+}
+
+// checkRoute forbids repeats if the request is no longer idempotent by the configuration in force, which may be
+// newer than that by which the request was accepted.
+func (r *forwardState) checkRoute() {
+	if cat := r.edge.watcher.Catalog(); cat.Version != r.call.version {
+		if route := matchRoute(cat, &r.call.request.Header); route == nil || !route.Idempotent {
+			r.log.ForbidRepeats()
+		}
 	}
-	return r.takeBudget(string(result.outcome))
 }
 
 // minAttemptShare is the share of the usual response time of a route that must be left until the
@@ -99,7 +100,8 @@
 // allowHedge decides whether a hedged attempt is started beside the single attempt in flight. It
 // takes a token from the budget if so.
 func (r *forwardState) allowHedge() hedgeDecision {
-	if !r.call.route.Idempotent || r.pending != 1 || r.reached+r.pending >= r.call.route.Attempts || !r.hasTimeForAttempt() {
+	r.checkRoute()
+	if !r.log.MayHedge() || !r.hasTimeForAttempt() {
 		return hedgeDenied
 	}
 	if !r.takeBudget("late") {
--- a/io/edge/refusalbytes_test.go
+++ b/io/edge/refusalbytes_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/attempts"
 	"bilberrymux/core/belief"
 	"bilberrymux/core/bytebudget"
 	"bilberrymux/io/backend"
@@ -54,9 +55,10 @@
 
 // provesNotRun reports whether a request whose attempt ended so may be sent again, and refused as not run.
 func provesNotRun(o belief.Outcome) bool {
-	r := &forwardState{call: &call{}}
-	r.recordOutcome(attemptResult{outcome: o})
-	return r.mayHaveRun == 0
+	l := attempts.New(attempts.Options{MaxRuns: 2})
+	l.Start()
+	l.End(o)
+	return !l.MayHaveRun()
 }
 
 // responseParts are what randomResponse puts responses together from.
--- a/io/edge/strictreader_test.go
+++ b/io/edge/strictreader_test.go
@@ -69,7 +69,7 @@
 			break
 		}
 		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.Trim(strings.ToLower(name), "abcdefghijklmnopqrstuvwxyz0123456789-") != "" || !allText(value) {
+		if !ok || name == "" || strings.Trim(strings.ToLower(name), "abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*+-.^_`|~") != "" || !allText(value) {
 			return nil
 		}
 		key := strings.ToLower(name)
