A server's refusal counts only if it leaves no doubt (REFUSED, TWICE)

Cause, H1 of docs/incidents/contradictory-refusals.md: a response counted as 'not executed' if the HTTP library found the header somewhere: also in a trailer, beside another request id, with the value 0, in a signed 200 or a 500, in a response without a marked end, after an interim response. The class: a contradictory or unfinished statement is read in the sense that allows a repeat.

Change: the head of a response with an error status is read by a strict parser of its own (core/httphead) before the library reads the response; an answer carries it only if the response is whole, ends in exactly one way, has no trailers and came first on the exchange. Without it nothing counts as not run, on the platform's path and on that of serve. Trailers are no part of a response any more. A contradiction is a failed attempt that may have run, and is not passed on.

--- a/core/attempts/attempts.go
+++ b/core/attempts/attempts.go
@@ -140,8 +140,12 @@
 	return refusal.DeadlineInQueue
 }
 
-// Pending returns the number of attempts in flight, Reached the number of those that reached a server, and Outcomes
-// the outcomes of those that have ended, in their order. The caller must not modify the slice.
-func (l *Log) Pending() int               { return l.pending }
-func (l *Log) Reached() int               { return l.reached }
+// Pending returns the number of attempts in flight.
+func (l *Log) Pending() int { return l.pending }
+
+// Reached returns the number of attempts that reached a server.
+func (l *Log) Reached() int { return l.reached }
+
+// Outcomes returns the outcomes of the attempts that have ended, in their order. The caller must not modify the
+// slice.
 func (l *Log) Outcomes() []belief.Outcome { return l.outcomes }
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -15,6 +15,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"bilberrymux/core/httphead"
 )
 
 // Limits of connections and their pools.
@@ -46,6 +48,10 @@
 	keepAlive time.Duration
 	// mismatched reports whether the connection carried a response to another request.
 	mismatched bool
+	// head is the head of the current response, if that is well-formed and has an error status, and trailers
+	// the names of its trailers.
+	head     *httphead.Head
+	trailers []string
 }
 
 // keepAliveMargin is subtracted from the server's keep-alive timeout, so that the
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -39,7 +39,7 @@
 	if outcome == belief.Broken {
 		e.tasks.Go(func() { e.checkCrash(k, a) })
 	}
-	if answer != nil && !mayBePassedOn(answer, outcome) {
+	if answer != nil && !mayBePassedOn(answer, k.id) {
 		answer.Discard()
 		answer = nil
 	}
@@ -51,19 +51,17 @@
 	answer, outcome, err := e.backend.Do(ctx, address, req, backend.Options{
 		AvoidStale: avoidStale,
 		IsMismatched: func(h *fasthttp.ResponseHeader) bool {
-			return platform.ClassifyResponse(h, id) == platform.WrongRequest
+			return platform.IsForeign(h, id)
 		},
 	})
 	return answer, outcomeOf(answer, outcome, id), err
 }
 
-// mayBePassedOn reports whether a caller may get the answer of an attempt. An answer whose status promises
-// that the request did not run is not passed on: the server may have run it, or another one may yet.
-func mayBePassedOn(answer *backend.Answer, o belief.Outcome) bool {
-	if o != belief.Good && o != belief.Failed {
-		return false
-	}
-	return !platform.PromisesNotExecuted(answer.Response.StatusCode())
+// mayBePassedOn reports whether the caller of the request with the given id may get the answer. One that promises
+// that the request did not run, or contradicts itself, is not passed on: the server may have run the request, or
+// another one may yet.
+func mayBePassedOn(answer *backend.Answer, requestID string) bool {
+	return platform.ClassifyResponse(&answer.Response.Header, answer.Head, requestID) == platform.Answered
 }
 
 // recordEnd records the outcome of an attempt as evidence about the server. That of a streamed answer
@@ -97,7 +95,7 @@
 		fields["error"] = result.err.Error()
 	}
 	if result.answer != nil {
-		fields["response"] = platform.SummarizeResponse(&result.answer.Response.Header)
+		fields["response"] = platform.SummarizeResponse(&result.answer.Response.Header, result.answer.Trailers)
 	}
 	e.log.WithFields(fields).Warn(event.AttemptFailed)
 }
@@ -117,14 +115,14 @@
 			return belief.Broken
 		}
 	}
-	switch platform.ClassifyResponse(&answer.Response.Header, requestID) {
+	switch platform.ClassifyResponse(&answer.Response.Header, answer.Head, requestID) {
 	case platform.Misdirected:
 		return belief.Misdirected
 	case platform.NotExecuted:
 		return belief.Shed
 	case platform.Unsigned, platform.WrongRequest:
 		return belief.Broken
-	case platform.UnmarkedRefusal:
+	case platform.UnmarkedRefusal, platform.Contradictory:
 		return belief.Failed
 	}
 	if answer.Response.StatusCode() >= fasthttp.StatusInternalServerError {
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"bilberrymux/core/attempts"
 	"bilberrymux/core/belief"
 	"bilberrymux/core/budget"
+	"bilberrymux/core/httphead"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/refusal"
 	"bilberrymux/core/settings"
@@ -26,8 +28,18 @@
 		for i := 0; i < len(headers); i += 2 {
 			r.Header.Set(headers[i], headers[i+1])
 		}
-		return &backend.Answer{Response: r}
+		raw := fmt.Sprintf("HTTP/1.1 %d %s\r\n", status, fasthttp.StatusMessage(status))
+		for i := 0; i < len(headers); i += 2 {
+			raw += headers[i] + ": " + headers[i+1] + "\r\n"
+		}
+		head, err := httphead.Parse([]byte(raw + "Content-Length: 0\r\n\r\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &backend.Answer{Response: r, Head: head}
 	}
+	doubtful := answer(503, platform.HeaderRequestID, "id", platform.HeaderNotExecuted, "1")
+	doubtful.Head = nil
 	signed := []string{platform.HeaderRequestID, "id", platform.HeaderSignature, "s"}
 	for name, test := range map[string]struct {
 		answer   *backend.Answer
@@ -40,6 +52,7 @@
 		"no signature":                       {answer(200, platform.HeaderRequestID, "id"), shard.Good, belief.Broken},
 		"answer to another request":          {answer(200, platform.HeaderRequestID, "other", platform.HeaderSignature, "s"), shard.Good, belief.Broken},
 		"overloaded":                         {answer(503, platform.HeaderRequestID, "id", platform.HeaderNotExecuted, "1"), shard.ServerError, belief.Shed},
+		"overloaded, with doubt":             {doubtful, shard.ServerError, belief.Failed},
 		"overloaded, of an unknown request":  {answer(503, platform.HeaderNotExecuted, "1"), shard.ServerError, belief.Broken},
 		"overloaded without not-run header":  {answer(503, platform.HeaderRequestID, "id"), shard.ServerError, belief.Failed},
 		"server error to an unknown request": {answer(500), shard.ServerError, belief.Broken},
--- a/io/standin/gridserver/contradictions.go
+++ b/io/standin/gridserver/contradictions.go
@@ -1,7 +1,7 @@
 package gridserver
 
 import (
-	"io"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -37,11 +37,12 @@
 	TwoMisdirections Fault = "twoMisdirections"
 )
 
-// contradictoryRefusals maps faults to what the server writes. {id} stands for the id of the request.
+// contradictoryRefusals maps faults to what the server writes. {id} stands for the id of the request, {chunk} for a
+// chunk with the body of a success.
 var contradictoryRefusals = map[Fault]string{
 	TwoRequestIDs:           "HTTP/1.1 503 Service Unavailable\r\nBilberrymux-Request-Id: {id}\r\nBilberrymux-Request-Id: other\r\nBilberrymux-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	RefusalInTrailer:        "HTTP/1.1 500 Internal Server Error\r\nBilberrymux-Request-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nBilberrymux-Not-Executed: 1\r\n\r\n",
-	SuccessRefusedInTrailer: "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: {id}\r\nBilberrymux-Response-Signature: s.{id}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nBilberrymux-Not-Executed: 1\r\n\r\n",
+	SuccessRefusedInTrailer: "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: {id}\r\nBilberrymux-Response-Signature: s.{id}\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}0\r\nBilberrymux-Not-Executed: 1\r\n\r\n",
 	IDInTrailer:             "HTTP/1.1 503 Service Unavailable\r\nBilberrymux-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nBilberrymux-Request-Id: {id}\r\n\r\n",
 	RefusedSuccess:          "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: {id}\r\nBilberrymux-Response-Signature: s.{id}\r\nBilberrymux-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	SignedRefusal:           "HTTP/1.1 503 Service Unavailable\r\nBilberrymux-Request-Id: {id}\r\nBilberrymux-Response-Signature: s.{id}\r\nBilberrymux-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
@@ -63,10 +64,11 @@
 
 // writeContradiction writes the response of a fault, if that is one of ContradictoryRefusals, after which the
 // connection ends.
-func writeContradiction(c net.Conn, id string, fault Fault) (written bool) {
+func writeContradiction(c net.Conn, id, body string, fault Fault) (written bool) {
 	text, ok := contradictoryRefusals[fault]
 	if ok {
-		_, _ = io.WriteString(c, strings.ReplaceAll(text, "{id}", id)) // a client that has left needs no response
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		_, _ = strings.NewReplacer("{id}", id, "{chunk}", chunk).WriteString(c, text) // a client that has left needs no response
 	}
 	return ok
 }
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -362,7 +362,7 @@
 func (s *Server) respond(c net.Conn, id string, fault Fault) bool {
 	signature := "Bilberrymux-Response-Signature: s." + id + "\r\n"
 	body := "answer of " + s.ID() + " to " + id
-	if writeContradiction(c, id, fault) {
+	if writeContradiction(c, id, body, fault) {
 		return false
 	}
 	switch fault {
