Edge.Stop waits for refusals on their way

Callers saw at worst a connection closed within milliseconds of their request, which ran nowhere. Stop now waits up to 100 ms for them, inside the margin that it keeps before the end of the grace period.

--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -33,7 +33,7 @@
 	if err := e.callerServer.app.ShutdownWithContext(ctx); err != nil {
 		e.log.WithError(err).Warn("server for callers did not shut down in time")
 	}
-	left := e.inFlight.Load()
+	left := e.awaitResponses()
 	e.log.WithField("left", left).Info(event.Stopped)
 	// The process exits next. Waiting for its background work would only use up the grace
 	// period on a slow VM.
@@ -41,6 +41,21 @@
 	return left
 }
 
+// responseTime bounds the time in which the responses to requests that came at the end of a planned stop are
+// written.
+const responseTime = 100 * time.Millisecond
+
+// awaitResponses waits until no request is in flight, for at most responseTime, and returns the number of those
+// that still are. Those that come at the end are refused, which takes some time on a busy VM.
+func (e *Edge) awaitResponses() int64 {
+	for limit := time.Now().Add(responseTime); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		if e.inFlight.Load() == 0 {
+			return 0
+		}
+	}
+	return e.inFlight.Load()
+}
+
 // Kill stops the daemon at once, as a crash would. Only tests use it.
 func (e *Edge) Kill() {
 	e.stopping.Store(true)
--- /dev/null
+++ b/io/standin/gridfleet/stop_test.go
@@ -0,0 +1,56 @@
+package gridfleet
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestRequestsAtEndOfPlannedStopAreNotLeft guards against requests that come in the last moment of a planned stop and
+// are cut.
+func TestRequestsAtEndOfPlannedStopAreNotLeft(t *testing.T) {
+	const (
+		interval = 10 * time.Millisecond
+		// margin is the time between the end of the stop's plan and that of the grace period.
+		margin = 700 * time.Millisecond
+		around = 200 * time.Millisecond
+	)
+	f, servers := start(t, Options{})
+	for _, s := range servers {
+		s.SetServiceTime(600 * time.Millisecond)
+	}
+	d := f.Daemons[0]
+	end := d.Settings.Bounds.Grace.Duration() - margin
+	var conns []net.Conn
+	for range int(2 * around / interval) {
+		c, err := net.Dial("tcp", d.Settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	left := make(chan int64, 1)
+	go func() { left <- d.Edge.Stop() }()
+	var wg sync.WaitGroup
+	responses := make(chan response, len(conns))
+	for n, c := range conns {
+		wg.Go(func() {
+			time.Sleep(end - around + time.Duration(n)*interval)
+			responses <- bookOn(c)
+		})
+	}
+	if n := <-left; n != 0 {
+		t.Errorf("%d requests were in flight at the end of the planned stop, want 0", n)
+	}
+	wg.Wait()
+	close(responses)
+	statuses := map[string]int{}
+	for r := range responses {
+		statuses[fmt.Sprint(r.Status, " ", r.Err != nil)]++
+		checkRefusal(t, servers, r)
+	}
+	t.Log(statuses)
+}
