--- a/io/front/front.go
+++ b/io/front/front.go
@@ -174,8 +174,12 @@
 	return nil
 }
 
-// writeAnswer copies a backend server's answer to the caller's response, without the headers that apply
-// to a single connection.
+// ownHeaders lists the headers by which only a daemon speaks to callers, and that by which servers tell a daemon
+// that they did not run a request. They are not passed on from servers.
+var ownHeaders = []string{RefusalHeader, OutcomeHeader, OwnerHeader, ReplayedHeader, backend.NotRunHeader}
+
+// writeAnswer copies a backend server's answer to the caller's response, without ownHeaders and the headers that
+// apply to a single connection.
 func (f *Front) writeAnswer(c *fiber.Ctx, reply router.Reply) {
 	f.options.Count("answers")
 	dst := c.Response()
@@ -183,6 +187,9 @@
 	owner := string(dst.Header.Peek(OwnerHeader))
 	reply.Answer.CopyTo(dst)
 	hopbyhop.RemoveHeaders(&dst.Header)
+	for _, name := range ownHeaders {
+		dst.Header.Del(name)
+	}
 	if closeConnection {
 		dst.SetConnectionClose()
 	}
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -5,13 +5,17 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
 
 	"bilberrymux/core/config"
+	"bilberrymux/io/backend"
 	"bilberrymux/io/router"
 )
 
@@ -45,6 +49,36 @@
 	}
 }
 
+// TestServersDoNotSpeakForDaemon checks that the headers by which a daemon tells callers whether a request ran, reach
+// them only from the daemon.
+func TestServersDoNotSpeakForDaemon(t *testing.T) {
+	f := New(Options{Count: func(string) {}})
+	app := fiber.New(fiber.Config{DisableStartupMessage: true})
+	app.All("/*", func(c *fiber.Ctx) error {
+		resp := &fasthttp.Response{}
+		resp.SetStatusCode(http.StatusServiceUnavailable)
+		for _, name := range []string{RefusalHeader, OutcomeHeader, ReplayedHeader, OwnerHeader, backend.NotRunHeader, "X-Other"} {
+			resp.Header.Set(name, "of the server")
+		}
+		f.writeAnswer(c, router.Reply{Answer: &backend.Answer{Response: resp}})
+		return nil
+	})
+	resp, err := app.Test(httptest.NewRequest(http.MethodGet, "/", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	var names []string
+	for name, values := range resp.Header {
+		if slices.Contains(values, "of the server") {
+			names = append(names, name)
+		}
+	}
+	if diff := cmp.Diff([]string{"X-Other"}, names); diff != "" {
+		t.Errorf("headers of the server that reach the caller (-want +got):\n%s", diff)
+	}
+}
+
 // startCallRecorder serves requests that are only parsed, and returns the parsed calls and the
 // address.
 func startCallRecorder(t *testing.T) (chan *router.Call, string) {
