--- a/io/edge/holdoffs.go
+++ b/io/edge/holdoffs.go
@@ -28,9 +28,11 @@
 		e.backend.Invalidate(s.Address)
 	}
 	pause, err := platform.ParsePause(header)
-	switch {
-	case err != nil:
+	if err != nil {
 		e.reportInvalid(s, "holdoffs.invalid", err)
+	}
+	switch {
+	case err != nil && pause == 0:
 	case pause == 0:
 		e.holdoffs.Answered(s.Key(), sentAt)
 	case e.holdoffs.Pause(time.Now(), s.Key(), pause):
--- a/io/edge/limits.go
+++ b/io/edge/limits.go
@@ -20,7 +20,9 @@
 	perSecond, limited, err := platform.ParseLimit(&answer.Response.Header)
 	if err != nil {
 		e.reportInvalid(s, "limits.invalid", err)
-		return
+		if !limited {
+			return
+		}
 	}
 	now := time.Now()
 	if e.limits.Learn(now, s.Key(), ratelimit.Statement{Limited: limited, PerSecond: perSecond, At: now}) {
