Edge.Stop answers requests that outlast the grace period

Traced from its logs: it came 1.0 s after SIGTERM and was accepted, since orders usually take 20 ms; then the path to its server orders-1 was silenced until after the stop, so that the process ended with the request in flight.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -82,6 +82,10 @@
 	// invalidLoggedAt holds the time.Time of the last log line about an invalid statement of a server by its
 	// ident.ServerID. The servers that are not listed any more are removed.
 	invalidLoggedAt sync.Map
+	// callers is the parent of the contexts of all requests of callers. endCallers ends them before the process
+	// does.
+	callers    context.Context
+	endCallers context.CancelCauseFunc
 	// gossipNow triggers a message to the zone before the end of the gossip period.
 	gossipNow chan struct{}
 	crashes   crashLog
@@ -146,6 +150,7 @@
 		log:        o.Log.WithField("vm", s.VM),
 		quarantine: poison.New(), limits: ratelimit.New(), holdoffs: holdoff.New(), fetches: refresh.NewFetches(rand.Float64), replies: refresh.NewReplies(s.LinkMbps), catchUp: refresh.NewCatchUp(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
+	e.callers, e.endCallers = context.WithCancelCause(context.Background())
 	e.answerBuffers = bytebudget.New(int64(answerBufferShare * float64(s.MemoryMB) * (1 << 20)))
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -183,7 +183,10 @@
 
 // timeoutKind returns the kind of the refusal after the context ended.
 func (r *forwardState) timeoutKind(ctx context.Context) refusal.Kind {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case errors.Is(context.Cause(ctx), errStopping):
+		return refusal.Stopping
+	case errors.Is(ctx.Err(), context.Canceled):
 		return refusal.CallerDisconnected
 	}
 	return r.log.TimeoutKind()
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -83,7 +83,7 @@
 		s.refuse(c, call, refused)
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), call.deadline)
+	ctx, cancel := context.WithDeadline(e.callers, call.deadline)
 	w := connwatch.New(c.Context().Conn(), cancel)
 	reply, refused := e.forward(ctx, call)
 	w.Stop()
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -14,10 +14,13 @@
 // must be complete.
 const stopMargin = 700 * time.Millisecond
 
+// errStopping is the cause of the end of a request that outlasts a planned stop.
+var errStopping = errors.New("edge: the grace period ends")
+
 // Stop shuts the daemon down gracefully. The daemon is no longer offered to callers. It serves the
 // requests that still arrive and can end in time, refuses the others as not run, and waits for those
-// in flight until shortly before the grace period ends. Stop returns the number of requests that were
-// still in flight, or 0 if the daemon was already stopping.
+// in flight until shortly before the grace period ends, when it answers them itself. Stop returns the number of
+// requests that were still in flight then, or 0 if the daemon was already stopping.
 func (e *Edge) Stop() int64 {
 	if !e.stopping.CompareAndSwap(false, true) {
 		return 0
@@ -30,6 +33,8 @@
 	time.Sleep(time.Until(plan.AcceptUntil))
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
+	ending := time.AfterFunc(time.Until(plan.End)-responseTime, func() { e.endCallers(errStopping) })
+	defer ending.Stop()
 	if err := e.callerServer.app.ShutdownWithContext(ctx); err != nil {
 		e.log.WithError(err).Warn("server for callers did not shut down in time")
 	}
--- a/io/standin/gridfleet/stop_test.go
+++ b/io/standin/gridfleet/stop_test.go
@@ -3,13 +3,15 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
+
+	"bilberrymux/io/standin/gridserver"
 )
 
-// TestRequestsAtEndOfPlannedStopAreNotLeft guards against requests that come in the last moment of a planned stop and
-// are cut.
+// TestRequestsAtEndOfPlannedStopAreNotLeft guards against cut requests that come at the end of a planned stop.
 func TestRequestsAtEndOfPlannedStopAreNotLeft(t *testing.T) {
 	const (
 		interval = 10 * time.Millisecond
@@ -54,3 +56,42 @@
 	}
 	t.Log(statuses)
 }
+
+// TestRequestsThatOutlastPlannedStopAreAnswered guards against cut requests whose server hangs to the end of the stop.
+func TestRequestsThatOutlastPlannedStopAreAnswered(t *testing.T) {
+	f, servers := start(t, Options{DaemonsPerZone: 1})
+	d := f.Daemons[0]
+	for range 50 {
+		if r := sendBooking(d); !r.valid() {
+			t.Fatalf("before the stop: got %+v, want a valid response", r)
+		}
+	}
+	for _, s := range servers {
+		s.SetFault(gridserver.Hang)
+	}
+	var conns []net.Conn
+	for range 4 {
+		c, err := net.Dial("tcp", d.Settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	left := make(chan int64, 1)
+	go func() { left <- d.Edge.Stop() }()
+	var wg sync.WaitGroup
+	for n, c := range conns {
+		wg.Go(func() {
+			time.Sleep(500*time.Millisecond + time.Duration(n)*100*time.Millisecond)
+			r := bookOn(c)
+			if r.Err != nil || r.Status != http.StatusBadGateway && r.Status != http.StatusGatewayTimeout {
+				t.Errorf("got %+v, want an answer which promises nothing", r)
+			}
+		})
+	}
+	if n := <-left; n != 0 {
+		t.Errorf("%d requests were in flight at the end of the planned stop, want 0", n)
+	}
+	wg.Wait()
+}
