--- a/core/belief/waiting.go
+++ b/core/belief/waiting.go
@@ -85,11 +85,13 @@
 		l.recordEnd(a.overdueRatio > 0, 1-a.Risk)
 	case Silent, Neutral:
 		ratio := t.waitingRatio(a, age)
+		if ratio >= minWaitingRatio {
+			s.failures++
+		}
 		if a.overdueRatio > 0 {
 			ratio /= a.overdueRatio
 		}
 		if ratio >= minWaitingRatio {
-			s.failures++
 			s.applyRatio(now, ratio)
 		}
 		if a.overdueRatio > 0 || o == Silent {
