--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -94,6 +94,8 @@
 	// evidenceAt is the time of the newest evidence, or of the creation of the state.
 	evidenceAt  time.Time
 	hasEvidence bool
+	// heard reports whether the newest evidence is that of another daemon.
+	heard bool
 	// failures counts the failed attempts of all daemons, as far as known, since the last good response.
 	failures int
 	// lastPicked is when this daemon last picked the server for an attempt.
--- a/core/belief/probe_test.go
+++ b/core/belief/probe_test.go
@@ -50,6 +50,11 @@
 	p.tracker.End(p.now, a, o, 100*time.Millisecond)
 }
 
+// fail makes an attempt at a server fail.
+func (p *probePlay) fail(s *roster.Server) {
+	p.end(p.pick(s), Broken)
+}
+
 // hang makes an attempt at a server wait for its answer in vain.
 func (p *probePlay) hang(s *roster.Server) *Attempt {
 	a := p.pick(s)
@@ -75,3 +80,26 @@
 		}
 	}
 }
+
+// TestReportsOfFailedServersAreNotLeftOut guards against failures that other daemons don't hear of in a large service.
+func TestReportsOfFailedServersAreNotLeftOut(t *testing.T) {
+	const limit = 10
+	p := newProbePlay(100)
+	p.now = p.now.Add(10 * time.Millisecond)
+	for _, s := range p.servers[20:] {
+		p.tracker.Merge(p.now, "other", Report{ID: s.ID, StartMillis: s.StartMillis, Risk: riskScale, AgeMillis: 0})
+	}
+	p.now = p.now.Add(10 * time.Millisecond)
+	for _, s := range p.servers[:limit/2] {
+		p.fail(s)
+	}
+	reported := map[ident.ServerID]bool{}
+	for _, r := range p.tracker.Reports(p.now, time.Second, limit) {
+		reported[r.ID] = true
+	}
+	for i, s := range p.servers {
+		if (i < limit/2 && !reported[s.ID]) || (i >= 20 && reported[s.ID]) {
+			t.Errorf("%s: reported %v; want the %d that failed, and none that others reported", s.ID, reported[s.ID], limit/2)
+		}
+	}
+}
--- a/core/belief/reports.go
+++ b/core/belief/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bilberrymux/core/ident"
@@ -48,21 +49,43 @@
 	return float64(r.Risk) / riskScale
 }
 
-// Reports returns the reports of servers that have evidence younger than maxAge or
-// in-flight attempts, at most limit of them in no particular order.
+// Reports returns the reports of servers that have evidence younger than maxAge or in-flight attempts, at most limit
+// of them. Those that keep other daemons from sending requests in vain come first; other daemons have sent
+// evidence that was heard from them to the whole zone.
 func (t *Tracker) Reports(now time.Time, maxAge time.Duration, limit int) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Report
+	byRank := map[reportRank][]Report{}
 	for key, s := range t.states {
-		if len(out) == limit {
-			break
-		}
 		if (s.hasEvidence && now.Sub(s.evidenceAt) < maxAge) || len(s.active) > 0 {
-			out = append(out, s.report(now, key))
+			rank := s.reportRank(now)
+			byRank[rank] = append(byRank[rank], s.report(now, key))
 		}
 	}
-	return out
+	out := slices.Concat(byRank[reportDoubtful], byRank[reportOwn], byRank[reportHeard])
+	return out[:min(len(out), limit)]
+}
+
+// reportRank is the importance of a report.
+type reportRank string
+
+const (
+	// reportDoubtful is for servers that have failed, by this daemon's evidence, or are being probed by it.
+	reportDoubtful reportRank = "doubtful"
+	// reportOwn is for other servers that this daemon uses.
+	reportOwn reportRank = "own"
+	// reportHeard is for evidence of other daemons.
+	reportHeard reportRank = "heard"
+)
+
+func (s *state) reportRank(now time.Time) reportRank {
+	switch {
+	case s.heard && len(s.active) == 0:
+		return reportHeard
+	case s.isDoubtful(now):
+		return reportDoubtful
+	}
+	return reportOwn
 }
 
 // Report returns the report of one server.
@@ -109,7 +132,7 @@
 	}
 	s.countReported(at, r.SickProbability())
 	s.risk = min(max(r.SickProbability(), minRisk), maxRisk)
-	s.evidenceAt, s.hasEvidence = at, true
+	s.evidenceAt, s.hasEvidence, s.heard = at, true, true
 	health := HealthOf(s.risk)
 	changed := health != s.health
 	s.health = health
--- a/core/belief/waiting.go
+++ b/core/belief/waiting.go
@@ -112,7 +112,7 @@
 // a sound one.
 func (s *state) applyRatio(now time.Time, ratio float64) {
 	s.risk = bound(withRatio(s.riskAt(now), ratio))
-	s.evidenceAt, s.hasEvidence = now, true
+	s.evidenceAt, s.hasEvidence, s.heard = now, true, false
 }
 
 // withRatio returns a risk after evidence with the given likelihood ratio.
