--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -41,6 +41,8 @@
 	// degraded. It doubles with each further failure in a row, up to maxFailedIdleTime.
 	failedIdleTime    = 3 * time.Second
 	maxFailedIdleTime = 8 * time.Second
+	// maxFailedDoublings limits the growth of failedIdleTime, so that it can't overflow.
+	maxFailedDoublings = 8
 )
 
 // dueFloorServer returns a server of this daemon's zone that must get the attempt so that it stays in use, or
@@ -60,7 +62,7 @@
 	for _, c := range t.floor(now, info, degraded, large) {
 		limit := t.idleLimit(c.state, c.server.ID, degraded)
 		idle := now.Sub(c.state.lastPicked) > limit && now.Sub(c.state.evidenceAt) > limit
-		usable := c.state.busy(now) < c.maxBusy(degraded) && !now.Before(c.state.unreachableUntil) && !c.state.misdirected && info.allows(now, c.server.Key())
+		usable := c.state.busy(now) < c.maxBusy(now, degraded) && !now.Before(c.state.unreachableUntil) && !c.state.misdirected && info.allows(now, c.server.Key())
 		if c.server.Zone == t.options.Zone && idle && usable {
 			return c.server
 		}
@@ -76,9 +78,9 @@
 }
 
 // maxBusy returns the number of attempts in flight from which the server gets no further one to keep it in
-// use: its slots, or one if it has failed, an attempt is overdue, or the service is degraded.
-func (c *candidate) maxBusy(degraded bool) int {
-	if degraded || c.state.failures > 0 {
+// use: its slots, or one if it is in doubt, an attempt is overdue, or the service is degraded.
+func (c *candidate) maxBusy(now time.Time, degraded bool) int {
+	if degraded || c.state.isDoubtful(now) {
 		return 1
 	}
 	for _, a := range c.state.active {
@@ -132,9 +134,6 @@
 	return s.failures > 0 || s.riskAt(now) >= recoveredRisk
 }
 
-// maxFailedDoublings limits the growth of the idle time, so that it can't overflow.
-const maxFailedDoublings = 8
-
 // dueLimitedServer returns a server with a limit that must get the attempt so that its limit
 // stays known, or nil. Sick servers are left alone.
 func (t *Tracker) dueLimitedServer(now time.Time, info *PickInfo) *roster.Server {
--- a/core/belief/probe_test.go
+++ b/core/belief/probe_test.go
@@ -103,3 +103,31 @@
 		}
 	}
 }
+
+// TestServersInDoubtGetOneProbeAtATime guards against daemons that lose requests at the same server in the same moment.
+func TestServersInDoubtGetOneProbeAtATime(t *testing.T) {
+	p := newProbePlay(20)
+	doubtful := p.servers[0]
+	p.fail(doubtful)
+	p.fail(doubtful)
+	p.end(p.pick(doubtful), Good)
+	for range 12 {
+		p.now = p.now.Add(recoveredIdleTime / 10)
+		for _, s := range p.servers[1:] {
+			p.end(p.pick(s), Good)
+		}
+	}
+	info := &PickInfo{Servers: p.servers, Route: "r", TargetLatency: time.Second, Last: true}
+	key := doubtful.Key()
+	report := p.tracker.Report(p.now, key)
+	report.Active = 1
+	p.tracker.Merge(p.now, "other", report)
+	if a := p.tracker.Pick(p.now, info); a.Server.Key() == key {
+		t.Error("a second daemon probes the server, while the probe of another one is in flight")
+	}
+	report.Active = 0
+	p.tracker.Merge(p.now, "other", report)
+	if a := p.tracker.Pick(p.now, info); a.Server.Key() != key {
+		t.Errorf("got %s, want the server in doubt, which no daemon probes", a.Server.ID)
+	}
+}
