--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -18,11 +18,7 @@
 
 // attempt sends the request to one server and records the outcome as evidence about the server.
 func (e *Edge) attempt(ctx context.Context, k *call, a *belief.Attempt) attemptResult {
-	req := &fasthttp.Request{}
-	k.request.CopyTo(req)
-	req.UseHostHeader = true
-	remaining := time.Until(k.deadline)
-	platform.SetTargetHeaders(&req.Header, a.Server.ID, remaining)
+	req := k.attemptRequest(a.Server.ID)
 	start := time.Now()
 	overdue := time.AfterFunc(e.tracker.OverdueAfter(a), func() {
 		e.tracker.Overdue(time.Now(), a)
@@ -46,6 +42,15 @@
 	return attemptResult{a, outcome, answer, err}
 }
 
+// attemptRequest returns the request of one attempt. All attempts share the body.
+func (k *call) attemptRequest(server ident.ServerID) *fasthttp.Request {
+	req := &fasthttp.Request{UseHostHeader: true}
+	k.request.Header.CopyTo(&req.Header)
+	req.SetBodyRaw(k.request.Body())
+	platform.SetTargetHeaders(&req.Header, server, time.Until(k.deadline))
+	return req
+}
+
 // exchange sends a request with the given id to a server and returns the answer, if any, and the outcome.
 func (e *Edge) exchange(ctx context.Context, address string, req *fasthttp.Request, id string, avoidStale bool) (*backend.Answer, belief.Outcome, error) {
 	answer, outcome, err := e.backend.Do(ctx, address, req, backend.Options{
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/gofiber/fiber/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/valyala/fasthttp"
 
@@ -71,6 +72,24 @@
 	}
 }
 
+// TestBodiesAreHeldOnce guards against a daemon that runs out of memory by copies of large uploads.
+func TestBodiesAreHeldOnce(t *testing.T) {
+	app := fiber.New()
+	c := app.AcquireCtx(&fasthttp.RequestCtx{})
+	defer app.ReleaseCtx(c)
+	c.Request().SetBodyString("a lecture recording")
+	body := c.Request().Body()
+	k := &call{request: outgoingRequest(c), deadline: time.Now().Add(time.Second)}
+	for range 2 {
+		if got := k.attemptRequest("s").Body(); &got[0] != &body[0] || len(got) != len(body) {
+			t.Errorf("the body %q of an attempt is a copy of %q", got, body)
+		}
+	}
+	if len(c.Request().Body()) > 0 {
+		t.Error("the caller's request still has its body, whose memory the library uses again")
+	}
+}
+
 // TestStatusNeverPromisesNotRunIfRan checks for each kind of refusal that the status does not
 // say that the request did not run if it may have run.
 func TestStatusNeverPromisesNotRunIfRan(t *testing.T) {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -144,14 +144,15 @@
 	return path
 }
 
-// outgoingRequest returns a copy of the request for the servers, without the headers that apply
-// to a single connection. The request target is the same as the caller's, byte for byte.
+// outgoingRequest returns the request for the servers, without the headers that apply
+// to a single connection. The request target is the same as the caller's, byte for byte. The body is taken from
+// the caller's request, since large bodies must not be held more than once.
 func outgoingRequest(c *fiber.Ctx) *fasthttp.Request {
 	// The request is not taken from a pool: an attempt that was slower than its hedge may still
 	// read it after the caller got the response.
 	req := &fasthttp.Request{}
 	c.Request().Header.CopyTo(&req.Header)
-	req.SetBody(c.Request().Body())
+	req.SwapBody(c.Request().SwapBody(nil))
 	hopbyhop.RemoveHeaders(&req.Header)
 	req.Header.Del(fasthttp.HeaderExpect)
 	req.Header.Del(fasthttp.HeaderTransferEncoding)
