belief: one typed reason why a server was picked; comments of core/refresh; openConns

Three tests of planned stops share the function that opens their connections. No behaviour changes; the log field 'floor' stays.

--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -127,6 +127,18 @@
 // remoteAttemptsTTL is how long a reported number of in-flight attempts is used.
 const remoteAttemptsTTL = 800 * time.Millisecond
 
+// PickReason is why a server was picked for an attempt.
+type PickReason string
+
+const (
+	// LeastCost means that the server had the lowest expected cost.
+	LeastCost PickReason = "leastCost"
+	// KeepInUse means that the server had been idle for too long.
+	KeepInUse PickReason = "keepInUse"
+	// Probe means that the server is in doubt, and that the attempt finds out whether it is sound.
+	Probe PickReason = "probe"
+)
+
 // Attempt is an in-flight attempt.
 type Attempt struct {
 	Server roster.Server
@@ -135,10 +147,8 @@
 	// EvidenceAge is the age of the newest evidence when the server was picked. It is negative
 	// if there was no evidence.
 	EvidenceAge time.Duration
-	// Floor reports whether the server was picked to keep it in use, rather than for its cost.
-	Floor bool
-	// Probe reports whether the server was doubtful, and picked to find out whether it is sound.
-	Probe   bool
+	// Reason is why the server was picked.
+	Reason  PickReason
 	Started time.Time
 	route   string
 	// target is the target latency of the route.
--- a/core/belief/belief_test.go
+++ b/core/belief/belief_test.go
@@ -298,7 +298,7 @@
 			if sick[a.Server.ID] {
 				outcome = Broken
 				probes++
-				if !a.Probe {
+				if a.Reason != Probe {
 					t.Errorf("%+v: sick server %s got a request that is no probe", test, a.Server.ID)
 				}
 			}
--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -101,9 +101,12 @@
 	if best == nil {
 		return nil
 	}
-	due := t.dueFloorServer(now, info)
-	if due != nil {
-		best, bestState = due, t.state(now, due.Key())
+	reason := LeastCost
+	if due := t.dueFloorServer(now, info); due != nil {
+		best, bestState, reason = due, t.state(now, due.Key()), KeepInUse
+		if bestState.isDoubtful(now) {
+			reason = Probe
+		}
 	}
 	if info.Limits != nil {
 		info.Limits.Take(now, best.Key())
@@ -113,7 +116,7 @@
 	}
 	bestState.lastPicked = now
 	a := &Attempt{
-		Server: *best, Floor: due != nil, Probe: due != nil && bestState.isDoubtful(now), Risk: t.currentRisk(now, bestState), EvidenceAge: -1, Started: now,
+		Server: *best, Reason: reason, Risk: t.currentRisk(now, bestState), EvidenceAge: -1, Started: now,
 		route: info.Route, target: info.TargetLatency, crowding: max(1, float64(bestState.busy(now)+1)/float64(max(1, best.Slots))),
 	}
 	if bestState.hasEvidence {
--- a/core/belief/reach_test.go
+++ b/core/belief/reach_test.go
@@ -147,7 +147,7 @@
 			return
 		}
 		tracker.End(now, a, outcome, took)
-		if !a.Probe {
+		if a.Reason != Probe {
 			tracker.RecordRequest(now, "s", outcome == Good)
 		}
 	})
--- a/core/refresh/catchup.go
+++ b/core/refresh/catchup.go
@@ -12,7 +12,7 @@
 	catchUpDelay = 300 * time.Millisecond
 	// catchUpPeriod is the minimum time between two messages that send it to the same peer.
 	catchUpPeriod = 250 * time.Millisecond
-	// maxCatchUpPeers is the number of peers from which entries that are too old to matter are removed.
+	// maxCatchUpPeers is the number of peers from which all entries are forgotten, to bound their memory.
 	maxCatchUpPeers = 1000
 	// catchUpHelpers is the number of daemons of a zone that send data to a peer which lacks it.
 	catchUpHelpers = 2
--- a/core/refresh/refresh.go
+++ b/core/refresh/refresh.go
@@ -1,5 +1,6 @@
-// Package refresh decides when a daemon reads shared data from the platform's store: how
-// the daemons of a zone take turns, and how they pause while the store does not answer.
+// Package refresh decides how shared data reaches all daemons: when a daemon reads it from the platform's store,
+// how the daemons of a zone take turns and pause while the store does not answer, from which peer a daemon
+// fetches it, how many peers it serves at a time, and when it sends data to a peer that is behind.
 // It does no I/O and starts no goroutines.
 package refresh
 
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -94,7 +94,7 @@
 	}
 	fields := logrus.Fields{
 		"request": k.id, "route": k.route.Name, "service": k.service, "server": a.Server.ID, "outcome": result.outcome,
-		"risk": a.Risk, "evidenceAgeMillis": a.EvidenceAge.Milliseconds(), "floor": a.Floor, "tookMillis": took.Milliseconds(),
+		"risk": a.Risk, "evidenceAgeMillis": a.EvidenceAge.Milliseconds(), "floor": a.Reason != belief.LeastCost, "tookMillis": took.Milliseconds(),
 	}
 	if result.err != nil {
 		fields["error"] = result.err.Error()
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -215,7 +215,7 @@
 		return nil
 	}
 	r.tried = append(r.tried, a.Server.Key())
-	if a.Probe {
+	if a.Reason == belief.Probe {
 		r.probed = true
 		// The other daemons of the zone don't probe the server while it is in use.
 		e.triggerGossip()
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -170,7 +170,7 @@
 	s.edge.log.WithFields(logrus.Fields{
 		"request": k.id, "route": k.route.Name, "service": k.service, "server": reply.server, "status": reply.answer.Response.StatusCode(),
 		"attempts": reply.attempts, "risk": reply.risk, "evidenceAgeMillis": reply.evidenceAge.Milliseconds(),
-		"floor": reply.attempt.Floor, "version": k.version, "tookMillis": took.Milliseconds(),
+		"floor": reply.attempt.Reason != belief.LeastCost, "version": k.version, "tookMillis": took.Milliseconds(),
 	}).Info(event.Answered)
 	dst := c.Response()
 	closing := dst.ConnectionClose()
--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -365,15 +365,7 @@
 	d := f.Daemons[0]
 	const interval = 100 * time.Millisecond
 	grace := d.Settings.Bounds.Grace.Duration()
-	var conns []net.Conn
-	for range 2 * int(grace/interval) {
-		c, err := net.Dial("tcp", d.Settings.CallerAddress)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		conns = append(conns, c)
-	}
+	conns := openConns(t, d, 2*int(grace/interval))
 	left := make(chan int64, 1)
 	go func() { left <- d.Edge.Stop() }()
 	var wg sync.WaitGroup
@@ -397,6 +389,21 @@
 	}
 }
 
+// openConns opens connections to a daemon, which are closed when the test ends.
+func openConns(t *testing.T, d *Daemon, count int) []net.Conn {
+	t.Helper()
+	var conns []net.Conn
+	for range count {
+		c, err := net.Dial("tcp", d.Settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		conns = append(conns, c)
+	}
+	return conns
+}
+
 // bookOn sends a booking on an open connection.
 func bookOn(c net.Conn) response {
 	r := response{ID: fmt.Sprintf("id-%d", lastRequestID.Add(1))}
--- a/io/standin/gridfleet/stop_test.go
+++ b/io/standin/gridfleet/stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -25,15 +24,7 @@
 	}
 	d := f.Daemons[0]
 	end := d.Settings.Bounds.Grace.Duration() - margin
-	var conns []net.Conn
-	for range int(2 * around / interval) {
-		c, err := net.Dial("tcp", d.Settings.CallerAddress)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		conns = append(conns, c)
-	}
+	conns := openConns(t, d, int(2*around/interval))
 	left := make(chan int64, 1)
 	go func() { left <- d.Edge.Stop() }()
 	var wg sync.WaitGroup
@@ -69,15 +60,7 @@
 	for _, s := range servers {
 		s.SetFault(gridserver.Hang)
 	}
-	var conns []net.Conn
-	for range 4 {
-		c, err := net.Dial("tcp", d.Settings.CallerAddress)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		conns = append(conns, c)
-	}
+	conns := openConns(t, d, 4)
 	left := make(chan int64, 1)
 	go func() { left <- d.Edge.Stop() }()
 	var wg sync.WaitGroup
