--- a/io/hopbyhop/hopbyhop.go
+++ b/io/hopbyhop/hopbyhop.go
@@ -22,11 +22,16 @@
 	Del(key string)
 }
 
-// RemoveHeaders deletes the fields that the message's Connection header names and all standard
-// hop-by-hop fields.
+// endToEndPrefix begins the names of the product's own fields, which no sender can make hop-by-hop: without them,
+// a response would lose its signature and a request its id.
+const endToEndPrefix = "bilberrymux-"
+
+// RemoveHeaders deletes the fields that the message's Connection header names, other than the product's own, and
+// all standard hop-by-hop fields.
 func RemoveHeaders(h Header) {
 	for name := range strings.SplitSeq(string(h.Peek(fasthttp.HeaderConnection)), ",") {
-		if name = strings.TrimSpace(name); name != "" {
+		name = strings.TrimSpace(name)
+		if name != "" && !strings.HasPrefix(strings.ToLower(name), endToEndPrefix) {
 			h.Del(name)
 		}
 	}
