--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -50,6 +50,7 @@
 	LinkBudgetExhausted Kind = "linkBudget"
 	NotReady            Kind = "notReady"
 	Stopping            Kind = "stopping"
+	MemoryFull          Kind = "memoryFull"
 	Internal            Kind = "internal"
 )
 
@@ -99,6 +100,7 @@
 	LinkBudgetExhausted: {503, NotRun, time.Second, true, "the link between the regions has no budget left"},
 	NotReady:            {503, NotRun, time.Second, true, "this daemon has no configuration yet"},
 	Stopping:            {503, NotRun, otherDaemonDelay, true, "this daemon shuts down, send the request to another one"},
+	MemoryFull:          {503, NotRun, otherDaemonDelay, true, "this daemon has no memory left for the body, send the request to another one"},
 	Internal:            {500, Unknown, 0, false, "internal error"},
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -71,6 +71,8 @@
 	backend    *backend.Client
 	// answerBuffers bounds the bytes of answers that are buffered at the same time.
 	answerBuffers *bytebudget.Budget
+	// requestBodies bounds the bytes of the bodies of all requests.
+	requestBodies *bytebudget.Budget
 	store         *platform.Store
 	transport     *news.Transport
 	callerServer  *callerServer
@@ -132,6 +134,9 @@
 // answerBufferShare is the share of the VM's memory that the buffers of answers may hold.
 const answerBufferShare = 0.1
 
+// requestBodyShare is the share of the VM's memory that the bodies of requests may hold.
+const requestBodyShare = 0.45
+
 // Timeouts of opening a connection.
 const (
 	serverDialTimeout = 300 * time.Millisecond
@@ -151,6 +156,7 @@
 		quarantine: poison.New(), limits: ratelimit.New(), holdoffs: holdoff.New(), fetches: refresh.NewFetches(rand.Float64), replies: refresh.NewReplies(s.LinkMbps), catchUp: refresh.NewCatchUp(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
 	e.callers, e.endCallers = context.WithCancelCause(context.Background())
+	e.requestBodies = bytebudget.New(int64(requestBodyShare * float64(s.MemoryMB) * (1 << 20)))
 	e.answerBuffers = bytebudget.New(int64(answerBufferShare * float64(s.MemoryMB) * (1 << 20)))
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
 	e.members = zone.New(zone.Member{
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -43,7 +43,7 @@
 	s := &callerServer{edge: e}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, DisableDefaultDate: true, DisablePreParseMultipartForm: true,
-		BodyLimit: maxBodyBytes, ReadBufferSize: headerBufferBytes, IdleTimeout: callerIdleTimeout, ErrorHandler: s.handleError,
+		BodyLimit: maxBodyBytes, StreamRequestBody: true, ReadBufferSize: headerBufferBytes, IdleTimeout: callerIdleTimeout, ErrorHandler: s.handleError,
 	})
 	s.app.Server().NoDefaultServerHeader = true
 	s.app.Server().NoDefaultContentType = true
@@ -70,6 +70,9 @@
 // serve handles one request.
 func (s *callerServer) serve(c *fiber.Ctx) error {
 	e := s.edge
+	body := requestBody{budget: e.requestBodies}
+	defer body.release()
+	refused := s.receiveBody(c, &body)
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	e.requests.Add(1)
@@ -77,8 +80,11 @@
 	if e.stopping.Load() {
 		c.Response().SetConnectionClose()
 	}
-	now := time.Now()
-	call, refused := s.parse(c, now)
+	if refused != nil {
+		s.refuse(c, nil, refused)
+		return nil
+	}
+	call, refused := s.parse(c, body.bytes, time.Now())
 	if refused != nil {
 		s.refuse(c, call, refused)
 		return nil
@@ -97,9 +103,9 @@
 	return nil
 }
 
-// parse finds the route and the deadline of a request. The returned call is nil if the request
-// is refused.
-func (s *callerServer) parse(c *fiber.Ctx, now time.Time) (*call, *refusal.Error) {
+// parse finds the route and the deadline of a request with the given body. The returned call is nil if the
+// request is refused.
+func (s *callerServer) parse(c *fiber.Ctx, body []byte, now time.Time) (*call, *refusal.Error) {
 	cat := s.edge.watcher.Catalog()
 	if cat.Version == 0 {
 		return nil, refusal.New(refusal.NotReady, "")
@@ -109,8 +115,8 @@
 	if route == nil {
 		return nil, refusal.New(refusal.NoRoute, "%s %s, version %d", header.Host(), pathOf(header), cat.Version)
 	}
-	if limit := cat.Limits.BodyBytes; limit > 0 && len(c.Request().Body()) > limit {
-		return nil, refusal.New(refusal.BodyTooLarge, "%d bytes, the limit is %d", len(c.Request().Body()), limit)
+	if limit := cat.Limits.BodyBytes; limit > 0 && len(body) > limit {
+		return nil, refusal.New(refusal.BodyTooLarge, "%d bytes, the limit is %d", len(body), limit)
 	}
 	deadline := now.Add(route.Timeout)
 	if text := string(header.Peek(platform.HeaderDeadline)); text != "" {
@@ -124,7 +130,7 @@
 	}
 	k := &call{
 		id: string(header.Peek(platform.HeaderRequestID)), route: route, version: cat.Version,
-		service: route.SelectService(s.edge.nextRequestNumber(route.Name)), received: now, deadline: deadline, request: outgoingRequest(c),
+		service: route.SelectService(s.edge.nextRequestNumber(route.Name)), received: now, deadline: deadline, request: outgoingRequest(c, body),
 	}
 	k.fingerprint = fingerprintOf(k.request)
 	if s.edge.gate.Stopping() && !s.edge.gate.Accepts(now, deadline, s.edge.tracker.UsualLatency(route.Name, route.TargetLatency)) {
@@ -145,14 +151,13 @@
 }
 
 // outgoingRequest returns the request for the servers, without the headers that apply
-// to a single connection. The request target is the same as the caller's, byte for byte. The body is taken from
-// the caller's request, since large bodies must not be held more than once.
-func outgoingRequest(c *fiber.Ctx) *fasthttp.Request {
+// to a single connection. The request target is the same as the caller's, byte for byte. The body is not copied.
+func outgoingRequest(c *fiber.Ctx, body []byte) *fasthttp.Request {
 	// The request is not taken from a pool: an attempt that was slower than its hedge may still
 	// read it after the caller got the response.
 	req := &fasthttp.Request{}
 	c.Request().Header.CopyTo(&req.Header)
-	req.SwapBody(c.Request().SwapBody(nil))
+	req.SetBodyRaw(body)
 	hopbyhop.RemoveHeaders(&req.Header)
 	req.Header.Del(fasthttp.HeaderExpect)
 	req.Header.Del(fasthttp.HeaderTransferEncoding)
--- a/io/edge/view.go
+++ b/io/edge/view.go
@@ -39,6 +39,7 @@
 	set("servers.paused", int64(paused))
 	set("requests.inFlight", e.inFlight.Load())
 	set("answers.bufferedBytes", e.answerBuffers.Held())
+	set("requests.bodyBytes", e.requestBodies.Held())
 	set("connections.servers", e.backend.OpenConns())
 	set("daemons.live", int64(len(e.members.Live())+1))
 	set("connections.callers", int64(e.callerServer.app.Server().GetOpenConnectionsCount()))
--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -55,6 +55,7 @@
 	NotAllowed           Cause = "the configuration does not allow the request"
 	CallerDisconnected   Cause = "the caller left"
 	RequestQuarantined   Cause = "the request is quarantined"
+	MemoryFull           Cause = "the daemon had no memory left for the body"
 	CauseUnknown         Cause = "the lines do not tell"
 )
 
@@ -189,6 +190,8 @@
 		return CallerDisconnected
 	case "poison":
 		return RequestQuarantined
+	case "memoryFull":
+		return MemoryFull
 	}
 	return CauseUnknown
 }
