KNOWN-RED: TestSlowLinkOfReaderDoesNotDelayZone fails at times beside load

The test prints the log of the daemons that are late now: they have the version, and no fetch of the list has ended or failed. 12 runs that pass need 0.86 to 0.90 s of the 1.2 s, since eight fetches at a time share the slow link and end together. Check and bound stay.

--- a/io/standin/gridfleet/explain_test.go
+++ b/io/standin/gridfleet/explain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -40,6 +42,19 @@
 	return out.String()
 }
 
+// linesOf returns the log lines of the given daemons.
+func (b *logBuffer) linesOf(daemons []string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out strings.Builder
+	for line := range strings.Lines(b.out.String()) {
+		if slices.ContainsFunc(daemons, func(vm string) bool { return strings.Contains(line, fmt.Sprintf("%q", vm)) }) {
+			out.WriteString(line)
+		}
+	}
+	return out.String()
+}
+
 // lines returns all log lines, parsed.
 func (b *logBuffer) lines(t *testing.T) []explain.Line {
 	t.Helper()
--- a/io/standin/gridfleet/spread_test.go
+++ b/io/standin/gridfleet/spread_test.go
@@ -31,9 +31,9 @@
 // TestSlowLinkOfReaderDoesNotDelayZone guards against daemons that all fetch from the only one that reads
 // the store, and so fill its link.
 func TestSlowLinkOfReaderDoesNotDelayZone(t *testing.T) {
-	rules := &netfault.Rules{}
+	rules, log := &netfault.Rules{}, &logBuffer{}
 	f, err := Start(Options{
-		Zones: []ident.ZoneID{"north"}, DaemonsPerZone: spreadDaemons, Rules: rules,
+		Zones: []ident.ZoneID{"north"}, DaemonsPerZone: spreadDaemons, Rules: rules, Log: log,
 		Adjust: func(s *settings.Edge) {
 			// The first daemon has the most capacity, so that it is the one that reads.
 			if s.VM == "north-1" {
@@ -72,7 +72,7 @@
 		}
 	}
 	if diff := cmp.Diff([]string(nil), late); diff != "" {
-		t.Errorf("daemons that are behind %v after the first one has the changes (-want +got):\n%s", spreadLimit, diff)
+		t.Errorf("daemons that are behind %v after the first one has the changes (-want +got):\n%s\n%s", spreadLimit, diff, log.linesOf(late))
 	}
 }
 
