--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	Idempotent   bool
 	Fingerprint  ident.Fingerprint
 	LatencyClass uint8
+	// StillIdempotent reports whether an idempotent request is so by the configuration in force, which may be
+	// newer than that by which it was accepted. It may be nil if that does not change.
+	StillIdempotent func() bool
 	// Send sends the request once to the server of the attempt and returns the answer, if any, and
 	// the outcome. The context ends at the deadline, or when the answer is no longer needed.
 	Send func(ctx context.Context, a *admit.Attempt) (*backend.Answer, shard.Outcome)
@@ -120,9 +123,9 @@
 			return res.answer, nil
 		}
 		failure, kind := failureOf(res.outcome)
-		retryAllowed := failure != "" && r.disconnects.Load() < maxDisconnects && r.d.Shard.AllowRetry(retry.Attempt{
-			Number: number, Idempotent: r.req.Idempotent, Failure: failure,
-		})
+		repeatable := r.mayRepeat()
+		retryAllowed := failure != "" && r.disconnects.Load() < maxDisconnects && (repeatable || r.mayHaveRun.Load() == 0) &&
+			r.d.Shard.AllowRetry(retry.Attempt{Number: number, Idempotent: repeatable, Failure: failure})
 		if retryAllowed {
 			r.countRetry(res.outcome)
 			continue
@@ -134,6 +137,11 @@
 	}
 }
 
+// mayRepeat reports whether the request may run more than once.
+func (r *run) mayRepeat() bool {
+	return r.req.Idempotent && (r.req.StillIdempotent == nil || r.req.StillIdempotent())
+}
+
 // refuse returns a refusal that states whether an attempt may have run.
 func (r *run) refuse(kind refusal.Kind) *refusal.Error {
 	e := refusal.New(kind, "")
@@ -238,6 +246,9 @@
 	for running > 0 {
 		select {
 		case <-timer.C:
+			if !r.mayRepeat() {
+				continue
+			}
 			if second := r.d.Shard.TryAcquireHedge(time.Now(), &r.ticket); second != nil {
 				r.countExtraAttempt(ExtraHedge)
 				launch(second)
--- a/io/dispatch/dispatch_test.go
+++ b/io/dispatch/dispatch_test.go
@@ -128,3 +128,35 @@
 		})
 	}
 }
+
+// TestRequestsAreNotRepeatedOnceNotIdempotent guards against second runs of requests that a new configuration forbids.
+func TestRequestsAreNotRepeatedOnceNotIdempotent(t *testing.T) {
+	for name, first := range map[string]attemptStep{
+		"retry after a server error": {time.Millisecond, shard.ServerError},
+		"retry after a broken one":   {time.Millisecond, shard.Broken},
+		"hedge":                      {300 * time.Millisecond, shard.Good},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDispatcher(t)
+				var attempts atomic.Int32
+				d.Do(context.Background(), &dispatch.Request{
+					Service: "s", Rank: ident.Urgent, Weight: 1, Deadline: time.Now().Add(time.Second), Idempotent: true,
+					StillIdempotent: func() bool { return false },
+					Send: func(_ context.Context, a *admit.Attempt) (*backend.Answer, shard.Outcome) {
+						attempts.Add(1)
+						a.Sent.Store(true)
+						time.Sleep(first.after)
+						if first.outcome == shard.Good {
+							return &backend.Answer{Response: &fasthttp.Response{}}, first.outcome
+						}
+						return nil, first.outcome
+					},
+				})
+				if n := attempts.Load(); n != 1 {
+					t.Errorf("got %d attempts, want 1", n)
+				}
+			})
+		})
+	}
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -262,10 +262,15 @@
 // shard's owner.
 func (r *Router) RunLocally(ctx context.Context, c *Call, region ident.RegionID) Reply {
 	dispatcher := r.options.Shards.Dispatcher(ident.ShardID{Service: c.Service, Region: region})
+	method, path := string(c.HTTP.Header.Method()), string(c.HTTP.URI().Path())
 	answer, refused := dispatcher.Do(ctx, &dispatch.Request{
 		Service: c.Service, Rank: c.Rank, Organisation: c.Organisation,
 		Weight: r.options.Config().Weight(c.Organisation), Deadline: c.Deadline,
 		Idempotent: c.Idempotent, Fingerprint: c.Fingerprint, LatencyClass: c.LatencyClass,
+		StillIdempotent: func() bool {
+			route := r.options.Config().Match(method, path)
+			return route != nil && route.Idempotent
+		},
 		Send: func(ctx context.Context, a *admit.Attempt) (*backend.Answer, shard.Outcome) {
 			return r.send(ctx, c, a)
 		},
