--- a/io/edge/body.go
+++ b/io/edge/body.go
@@ -50,6 +50,9 @@
 		switch {
 		case len(b.bytes) > limit:
 			return errBodyTooLarge
+		case err == io.EOF && len(b.bytes) < length:
+			// The library takes the end of the connection for that of the body.
+			return io.ErrUnexpectedEOF
 		case err == io.EOF:
 			return nil
 		case err != nil:
--- a/io/edge/body_test.go
+++ b/io/edge/body_test.go
@@ -36,6 +36,8 @@
 		{"beyond the budget in chunks", 3 << 20, -1, 2 << 20, errBodyBudget},
 		{"announced as too large", 0, limit + 1, limit, errBodyTooLarge},
 		{"too large in chunks", limit + 1, -1, 2 * limit, errBodyTooLarge},
+		{"ends early", 2 << 20, 3 << 20, limit, io.ErrUnexpectedEOF},
+		{"ends early, small", 10, 11, 0, io.ErrUnexpectedEOF},
 		{"broken off", 2 << 20, 3 << 20, limit, broken},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/io/standin/gridfleet/upload_test.go
+++ b/io/standin/gridfleet/upload_test.go
@@ -1,6 +1,7 @@
 package gridfleet
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -51,3 +52,25 @@
 		t.Errorf("after the burst: got %d, error %v, want a valid response", r.Status, r.Err)
 	}
 }
+
+// TestUploadsThatBreakOffDoNotRun guards against servers that run a part of an upload whose caller has left.
+func TestUploadsThatBreakOffDoNotRun(t *testing.T) {
+	f, servers := start(t, Options{DaemonsPerZone: 1})
+	d := f.Daemons[0]
+	const sent = 100_000
+	for _, framing := range []string{"Content-Length: 500000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n7a120\r\n"} {
+		for _, c := range openConns(t, d, 10) {
+			id := fmt.Sprintf("left-%d", lastRequestID.Add(1))
+			fmt.Fprintf(c, "POST /b/x HTTP/1.1\r\nHost: %s\r\nBilberrymux-Request-Id: %s\r\n%s%s", bookHost, id, framing, strings.Repeat("x", sent))
+			if err := c.Close(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	eventually(t, "all connections of callers are closed", func() bool { return gauge(t, d, "bilberrymux_connections_callers") == 0 })
+	for id, s := range servers {
+		if runs := s.Runs(); len(runs) > 0 {
+			t.Errorf("%s ran %v", id, runs)
+		}
+	}
+}
