--- a/core/belief/belief.go
+++ b/core/belief/belief.go
@@ -81,6 +81,14 @@
 	maxUnreachableBackoff = 8 * time.Second
 )
 
+// misdirectedBackoff is how long a server is left out after another one has answered at its address. It doubles with
+// each such response since the last Good outcome, up to maxMisdirectedBackoff. The row of a server that is
+// gone is removed within this time, unless the store is away.
+const (
+	misdirectedBackoff    = 5 * time.Second
+	maxMisdirectedBackoff = time.Minute
+)
+
 // shedCooldown is how long a server gets fewer requests after it shed one.
 const shedCooldown = 300 * time.Millisecond
 
@@ -109,7 +117,10 @@
 	// dialFailures counts the failed connections since the last Good outcome.
 	dialFailures int
 	shedUntil    time.Time
-	misdirected  bool
+	// misdirectedUntil is the end of the time for which the server is left out after another one has answered at
+	// its address, and misdirections counts such responses since the last Good outcome.
+	misdirectedUntil time.Time
+	misdirections    int
 	// slowness is the moving average of the natural logarithm of response time divided by
 	// the median response time of the route.
 	slowness float64
@@ -265,6 +276,7 @@
 	switch o {
 	case Good:
 		s.dialFailures, s.unreachableUntil = 0, time.Time{}
+		s.misdirections = 0
 		t.recordLatency(s, a, took)
 	case Unreachable:
 		if t.observer.wasSlow(a.Started, now) {
@@ -275,7 +287,8 @@
 	case Shed:
 		s.shedUntil = now.Add(shedCooldown)
 	case Misdirected:
-		s.misdirected = true
+		s.misdirections++
+		s.misdirectedUntil = now.Add(min(misdirectedBackoff<<min(s.misdirections-1, 8), maxMisdirectedBackoff))
 	default:
 	}
 	t.notifyHealthChange(s, a.Server, o)
--- a/core/belief/floor.go
+++ b/core/belief/floor.go
@@ -62,7 +62,7 @@
 	for _, c := range t.floor(now, info, degraded, large) {
 		limit := t.idleLimit(c.state, c.server.ID, degraded)
 		idle := now.Sub(c.state.lastPicked) > limit && now.Sub(c.state.evidenceAt) > limit
-		usable := c.state.busy(now) < c.maxBusy(now, degraded) && !now.Before(c.state.unreachableUntil) && !c.state.misdirected && info.allows(now, c.server.Key())
+		usable := c.state.busy(now) < c.maxBusy(now, degraded) && !now.Before(c.state.unreachableUntil) && !now.Before(c.state.misdirectedUntil) && info.allows(now, c.server.Key())
 		if c.server.Zone == t.options.Zone && idle && usable {
 			return c.server
 		}
@@ -142,7 +142,7 @@
 	}
 	for _, server := range info.Servers {
 		s := t.state(now, server.Key())
-		usable := s.busy(now) == 0 && !now.Before(s.unreachableUntil) && !s.misdirected && s.riskAt(now) < sickThreshold
+		usable := s.busy(now) == 0 && !now.Before(s.unreachableUntil) && !now.Before(s.misdirectedUntil) && s.riskAt(now) < sickThreshold
 		if !server.Draining && usable && !info.heldOff(now, server.Key()) && info.Limits.Due(now, server.Key()) {
 			return server
 		}
--- a/core/belief/pick.go
+++ b/core/belief/pick.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		s := t.state(now, server.Key())
-		if s.misdirected || !info.allows(now, server.Key()) {
+		if now.Before(s.misdirectedUntil) || !info.allows(now, server.Key()) {
 			continue
 		}
 		if cost := t.cost(now, info, server, s); cost < least {
--- a/core/belief/probe_test.go
+++ b/core/belief/probe_test.go
@@ -131,3 +131,31 @@
 		t.Errorf("got %s, want the server in doubt, which no daemon probes", a.Server.ID)
 	}
 }
+
+// TestServersAreTriedAgainAfterMisdirections guards against servers that a daemon never uses again after one 421 each.
+func TestServersAreTriedAgainAfterMisdirections(t *testing.T) {
+	p := newProbePlay(4)
+	info := &PickInfo{Servers: p.servers, Route: "r", TargetLatency: time.Second, Last: true}
+	misdirectAll := func() {
+		for range p.servers {
+			p.end(p.tracker.Pick(p.now, info), Misdirected)
+		}
+		if a := p.tracker.Pick(p.now, info); a != nil {
+			t.Errorf("got %s, want no server: others answer at all addresses", a.Server.ID)
+		}
+	}
+	for _, pause := range []time.Duration{misdirectedBackoff, 2 * misdirectedBackoff, 4 * misdirectedBackoff} {
+		misdirectAll()
+		p.now = p.now.Add(pause - time.Millisecond)
+		if a := p.tracker.Pick(p.now, info); a != nil {
+			t.Errorf("got %s within %v", a.Server.ID, pause)
+		}
+		p.now = p.now.Add(time.Millisecond)
+	}
+	p.answerAll()
+	misdirectAll()
+	p.now = p.now.Add(misdirectedBackoff)
+	if a := p.tracker.Pick(p.now, info); a == nil {
+		t.Errorf("got no server %v after the first misdirection since good responses", misdirectedBackoff)
+	}
+}
