--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -70,6 +70,7 @@
 // serve handles one request.
 func (s *callerServer) serve(c *fiber.Ctx) error {
 	e := s.edge
+	// A request whose body is still being read is not in flight: a planned stop does not wait for it.
 	body := requestBody{budget: e.requestBodies}
 	defer body.release()
 	refused := s.receiveBody(c, &body)
