--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -33,9 +33,10 @@
 // Client sends requests to servers by address and pools their connections. It is safe
 // for concurrent use.
 type Client struct {
-	// dial opens a connection. onClose is called with the reason for each connection
-	// that is closed.
+	// dial opens a connection. onOpen is called for each connection that was opened, onClose with the reason
+	// for each one that is closed.
 	dial    func(ctx context.Context, address string) (net.Conn, error)
+	onOpen  func()
 	onClose func(CloseReason)
 	// buffers bounds what the bodies of all exchanges hold beyond minBufferedBody each.
 	buffers *bytebudget.Budget
@@ -43,14 +44,33 @@
 	mu sync.RWMutex
 	// pools maps addresses to their pools of idle connections.
 	pools map[string]*connPool
-	// open is the number of open connections, idle or in use.
-	open atomic.Int64
+	// open is the number of open connections, idle or in use, and opened the number of all connections so far.
+	open   atomic.Int64
+	opened atomic.Uint64
 }
 
-// New returns a Client that opens connections by dial, and calls onClose with the
-// reason for each connection that it closes. It buffers bodies of responses within the budget.
-func New(dial func(ctx context.Context, address string) (net.Conn, error), onClose func(CloseReason), buffers *bytebudget.Budget) *Client {
-	return &Client{dial: dial, onClose: onClose, buffers: buffers, pools: map[string]*connPool{}}
+// ClientOptions are the dependencies of a Client.
+type ClientOptions struct {
+	// Dial opens a connection to an address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnOpen is called for each connection that was opened. It may be nil.
+	OnOpen func()
+	// OnClose is called with the reason for each connection that is closed. It may be nil.
+	OnClose func(CloseReason)
+	// Buffers bounds what the bodies of all responses hold in memory.
+	Buffers *bytebudget.Budget
+}
+
+// New returns a Client with the given dependencies.
+func New(o ClientOptions) *Client {
+	c := &Client{dial: o.Dial, onOpen: o.OnOpen, onClose: o.OnClose, buffers: o.Buffers, pools: map[string]*connPool{}}
+	if c.onOpen == nil {
+		c.onOpen = func() {}
+	}
+	if c.onClose == nil {
+		c.onClose = func(CloseReason) {}
+	}
+	return c
 }
 
 // Options configure one exchange.
@@ -61,9 +81,10 @@
 	AvoidStale bool
 	// NewConn forces the use of a new connection.
 	NewConn bool
-	// OnConnect is called once the exchange has a connection, and is told whether that
-	// was used before. It may be nil.
-	OnConnect func(reused bool)
+	// RequestID is the ID of the request, which its responses repeat. It is empty if it has none.
+	RequestID string
+	// OnConnect is called once the exchange has a connection. It may be nil.
+	OnConnect func(Use)
 	// IsMismatched reports whether a response belongs to another request. Such
 	// responses are skipped. It may be nil.
 	IsMismatched func(h *fasthttp.ResponseHeader) bool
@@ -80,8 +101,9 @@
 	if err != nil {
 		return nil, dialOutcome(ctx), err
 	}
+	use := sc.beginExchange(o.RequestID)
 	if o.OnConnect != nil {
-		o.OnConnect(sc.reused)
+		o.OnConnect(use)
 	}
 	setDeadline(ctx, req)
 	stop := sc.closeOnDone(ctx)
@@ -160,8 +182,9 @@
 		return nil, fmt.Errorf("backend: %w", err)
 	}
 	c.open.Add(1)
+	c.onOpen()
 	return &serverConn{
-		Conn: conn, generation: generation,
+		Conn: conn, number: c.opened.Add(1), generation: generation,
 		br: bufio.NewReaderSize(conn, bufferSize), bw: bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -107,14 +107,22 @@
 	}
 }
 
+// newClient returns a client that dials the addresses it is given and reports the connections that it closes.
+func newClient(onClose func(backend.CloseReason)) *backend.Client {
+	return backend.New(backend.ClientOptions{
+		Dial: func(ctx context.Context, a string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", a)
+		},
+		OnClose: onClose, Buffers: bytebudget.New(math.MaxInt64),
+	})
+}
+
 // testReplyScript runs the exchanges of a script and checks their results.
 func testReplyScript(t *testing.T, s *replyScript) {
 	var reasons []backend.CloseReason
 	address := startScriptedServer(t, s)
-	client := backend.New(func(ctx context.Context, a string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", a)
-	}, func(reason backend.CloseReason) { reasons = append(reasons, reason) }, bytebudget.New(math.MaxInt64))
+	client := newClient(func(reason backend.CloseReason) { reasons = append(reasons, reason) })
 	for i, e := range s.Exchanges {
 		// Unsolicited data of the server needs some time to arrive.
 		time.Sleep(20 * time.Millisecond)
@@ -141,7 +149,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + address + "/x")
 	answer, outcome, _ := client.Do(ctx, address, req, backend.Options{
-		AvoidStale: e.AvoidStale, OnConnect: func(reused bool) { e.Reused = reused },
+		AvoidStale: e.AvoidStale, OnConnect: func(use backend.Use) { e.Reused = use.Reused() },
 	})
 	e.Outcome = outcome
 	if answer == nil {
@@ -176,10 +184,7 @@
 		close(connClosed)
 	}()
 	var reasons []backend.CloseReason
-	client := backend.New(func(ctx context.Context, a string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", a)
-	}, func(reason backend.CloseReason) { reasons = append(reasons, reason) }, bytebudget.New(math.MaxInt64))
+	client := newClient(func(reason backend.CloseReason) { reasons = append(reasons, reason) })
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
 	req := fasthttp.AcquireRequest()
@@ -200,12 +205,9 @@
 // TestDoUnreachable checks the outcome of a request to an address that refuses
 // connections.
 func TestDoUnreachable(t *testing.T) {
-	client := backend.New(func(ctx context.Context, a string) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", a)
-	}, func(reason backend.CloseReason) {
+	client := newClient(func(reason backend.CloseReason) {
 		t.Errorf("a connection was closed although none was opened: %s", reason)
-	}, bytebudget.New(math.MaxInt64))
+	})
 	req := fasthttp.AcquireRequest()
 	req.SetRequestURI("http://x/")
 	if _, outcome, _ := client.Do(context.Background(), "127.0.0.1:1", req, backend.Options{}); outcome != shard.DialFailed {
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -35,8 +35,14 @@
 // serverConn is one connection to a server. It is not safe for concurrent use.
 type serverConn struct {
 	net.Conn
-	br *bufio.Reader
-	bw *bufio.Writer
+	// number numbers the connections of a client, from 1.
+	number uint64
+	// exchanges is the number of exchanges that the connection has carried, and carried holds the hashes of
+	// their request IDs.
+	exchanges int
+	carried   []uint64
+	br        *bufio.Reader
+	bw        *bufio.Writer
 	// idleSince is the time of the connection's last return to the pool.
 	idleSince time.Time
 	// generation is the generation of the pool when the connection was dialled.
--- a/io/backend/endless_test.go
+++ b/io/backend/endless_test.go
@@ -57,14 +57,16 @@
 	return l.Addr().String()
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // TestEndlessAnswersTakeBoundedMemory guards against a process that holds the product of its exchanges and the
 // size of each.
 func TestEndlessAnswersTakeBoundedMemory(t *testing.T) {
 	address := serveEndless(t, "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: 7\r\nConnection: close\r\n\r\n")
 	budget := bytebudget.New(endlessBudget)
-	c := New(func(ctx context.Context, address string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	}, func(CloseReason) {}, budget)
+	c := New(ClientOptions{Dial: dialTCP, Buffers: budget})
 	var before, during runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -123,9 +125,7 @@
 			server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(body) }}
 			go func() { _ = server.Serve(l) }()
 			budget := bytebudget.New(test.budget)
-			c := New(func(ctx context.Context, address string) (net.Conn, error) {
-				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-			}, func(CloseReason) {}, budget)
+			c := New(ClientOptions{Dial: dialTCP, Buffers: budget})
 			req := &fasthttp.Request{}
 			req.SetRequestURI("http://server/")
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
--- a/io/backend/silence_test.go
+++ b/io/backend/silence_test.go
@@ -24,7 +24,7 @@
 	go func() { _ = server.Serve(l) }()
 	defer l.Close()
 	dialer := &silentconn.Dialer{}
-	c := New(dialer.Dial, func(CloseReason) {}, bytebudget.New(math.MaxInt64))
+	c := New(ClientOptions{Dial: dialer.Dial, Buffers: bytebudget.New(math.MaxInt64)})
 	do := func(limit time.Duration) shard.Outcome {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
--- a/io/backend/truncated_test.go
+++ b/io/backend/truncated_test.go
@@ -50,9 +50,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for n := range len(test.answer) {
-				c := New(func(ctx context.Context, address string) (net.Conn, error) {
-					return (&net.Dialer{}).DialContext(ctx, "tcp", address)
-				}, func(CloseReason) {}, bytebudget.New(math.MaxInt64))
+				c := New(ClientOptions{Dial: dialTCP, Buffers: bytebudget.New(math.MaxInt64)})
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 				req := &fasthttp.Request{}
 				req.SetRequestURI("http://server/")
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -168,9 +168,12 @@
 	}
 	d.store = instrumentStore(d.store, d.add)
 	d.members = member.New(self, func(*member.Entry) { d.triggerReconcile() })
-	d.backend = backend.New(d.dialer(serverDialTimeout), func(reason backend.CloseReason) {
-		d.count(meter.Name("connections.closed", meter.Label{Key: "end", Value: string(reason)}))
-	}, bytebudget.New(answerBufferBytes))
+	d.backend = backend.New(backend.ClientOptions{
+		Dial: d.dialer(serverDialTimeout), Buffers: bytebudget.New(answerBufferBytes), OnOpen: func() { d.count("connections.opened") },
+		OnClose: func(reason backend.CloseReason) {
+			d.count(meter.Name("connections.closed", meter.Label{Key: "end", Value: string(reason)}))
+		},
+	})
 	d.peers = peer.NewClient(d.dialer(peerDialTimeout), d.traffic)
 	d.versions = versions.New(d.store, d.configApplied)
 	d.gossip = gossip.New(gossip.Options{
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -25,21 +25,22 @@
 		e.triggerGossip()
 	})
 	defer overdue.Stop()
-	answer, outcome, err := e.exchange(ctx, a.Server.Address, req, k.id, !k.route.Idempotent)
+	answer, outcome, use, err := e.exchange(ctx, a.Server.Address, req, k.id, !k.route.Idempotent)
 	took := time.Since(start)
 	if answer != nil {
 		e.learnStatements(&a.Server, answer, outcome, start)
 	}
 	e.recordEnd(a, answer, outcome, took)
-	e.recordAttempt(k, attemptResult{a, outcome, answer, err}, took)
+	result := attemptResult{a, outcome, answer, use, err}
+	e.recordAttempt(k, result, took)
 	if outcome == belief.Broken {
 		e.tasks.Go(func() { e.checkCrash(k, a) })
 	}
 	if answer != nil && !mayBePassedOn(answer, k.id) {
 		answer.Discard()
-		answer = nil
+		result.answer = nil
 	}
-	return attemptResult{a, outcome, answer, err}
+	return result
 }
 
 // attemptRequest returns the request of one attempt. All attempts share the body.
@@ -51,15 +52,17 @@
 	return req
 }
 
-// exchange sends a request with the given id to a server and returns the answer, if any, and the outcome.
-func (e *Edge) exchange(ctx context.Context, address string, req *fasthttp.Request, id string, avoidStale bool) (*backend.Answer, belief.Outcome, error) {
+// exchange sends a request with the given id to a server. It returns the answer, if any, the outcome, and the use of
+// the connection, which is the zero value if there was none.
+func (e *Edge) exchange(ctx context.Context, address string, req *fasthttp.Request, id string, avoidStale bool) (*backend.Answer, belief.Outcome, backend.Use, error) {
+	var use backend.Use
 	answer, outcome, err := e.backend.Do(ctx, address, req, backend.Options{
-		AvoidStale: avoidStale,
+		AvoidStale: avoidStale, RequestID: id, OnConnect: func(u backend.Use) { use = u },
 		IsMismatched: func(h *fasthttp.ResponseHeader) bool {
 			return platform.IsForeign(h, id)
 		},
 	})
-	return answer, outcomeOf(answer, outcome, id), err
+	return answer, outcomeOf(answer, outcome, id), use, err
 }
 
 // mayBePassedOn reports whether the caller of the request with the given id may get the answer. One that promises
@@ -89,12 +92,16 @@
 func (e *Edge) recordAttempt(k *call, result attemptResult, took time.Duration) {
 	a := result.attempt
 	e.countBy("attempts", "outcome", string(result.outcome))
+	if result.use.Repeated {
+		e.count("connections.repeated")
+	}
 	if result.outcome == belief.Good {
 		return
 	}
 	fields := logrus.Fields{
 		"request": k.id, "route": k.route.Name, "service": k.service, "server": a.Server.ID, "outcome": result.outcome,
 		"risk": a.Risk, "evidenceAgeMillis": a.EvidenceAge.Milliseconds(), "floor": a.Reason != belief.LeastCost, "tookMillis": took.Milliseconds(),
+		"address": a.Server.Address, "startMillis": a.Server.StartMillis, "connection": result.use,
 	}
 	if result.err != nil {
 		fields["error"] = result.err.Error()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -168,9 +168,10 @@
 	now := time.Now()
 	e.budget = budget.New(now, budgetOptions(s))
 	e.division = budget.NewDivision(now, divisionOptions(s))
-	e.backend = backend.New(e.dialer(serverDialTimeout), func(reason backend.CloseReason) {
-		e.countBy("connections.closed", "end", string(reason))
-	}, e.answerBuffers)
+	e.backend = backend.New(backend.ClientOptions{
+		Dial: e.dialer(serverDialTimeout), Buffers: e.answerBuffers, OnOpen: func() { e.count("connections.opened") },
+		OnClose: func(reason backend.CloseReason) { e.countBy("connections.closed", "end", string(reason)) },
+	})
 	e.store = platform.NewStore(s.Store, e.dialer(storeDialTimeout), func(call, result string, took time.Duration) {
 		labels := []meter.Label{{Key: "call", Value: call}, {Key: "result", Value: result}}
 		e.metrics.Count(meter.Name("store.calls", labels...))
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -25,6 +25,8 @@
 	server  ident.ServerID
 	// attempts is the number of attempts that reached a server.
 	attempts int
+	// use is the use of the connection on which the answer came.
+	use backend.Use
 	// risk is the probability that the server was sick, and evidenceAge the age of the newest
 	// evidence, when the server was picked.
 	risk        float64
@@ -59,6 +61,7 @@
 	attempt *belief.Attempt
 	outcome belief.Outcome
 	answer  *backend.Answer
+	use     backend.Use
 	err     error
 }
 
@@ -235,7 +238,7 @@
 		return nil
 	}
 	reply := &serverReply{
-		answer: result.answer, attempt: result.attempt, server: result.attempt.Server.ID, attempts: r.log.Reached(),
+		answer: result.answer, attempt: result.attempt, server: result.attempt.Server.ID, attempts: r.log.Reached(), use: result.use,
 		risk: result.attempt.Risk, evidenceAge: result.attempt.EvidenceAge,
 	}
 	switch result.outcome {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -177,6 +177,7 @@
 		"request": k.id, "route": k.route.Name, "service": k.service, "server": reply.server, "status": reply.answer.Response.StatusCode(),
 		"attempts": reply.attempts, "risk": reply.risk, "evidenceAgeMillis": reply.evidenceAge.Milliseconds(),
 		"floor": reply.attempt.Reason != belief.LeastCost, "version": k.version, "tookMillis": took.Milliseconds(),
+		"connection": reply.use,
 	}).Info(event.Answered)
 	dst := c.Response()
 	closing := dst.ConnectionClose()
--- a/io/edge/refusalbytes_test.go
+++ b/io/edge/refusalbytes_test.go
@@ -26,7 +26,7 @@
 // exchangeBytes sends a request that must run once to a server that writes the bytes and closes the connection, and
 // returns the outcome.
 func exchangeBytes(written []byte) belief.Outcome {
-	client := backend.New(func(context.Context, string) (net.Conn, error) {
+	client := backend.New(backend.ClientOptions{Buffers: bytebudget.New(math.MaxInt64), Dial: func(context.Context, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		go func() {
 			defer far.Close()
@@ -39,14 +39,14 @@
 			}
 		}()
 		return near, nil
-	}, func(backend.CloseReason) {}, bytebudget.New(math.MaxInt64))
+	}})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	req := &fasthttp.Request{}
 	req.SetRequestURI("http://server/")
 	req.Header.SetMethod(http.MethodPost)
 	e := &Edge{backend: client}
-	answer, outcome, _ := e.exchange(ctx, "server:1", req, fuzzedRequestID, true)
+	answer, outcome, _, _ := e.exchange(ctx, "server:1", req, fuzzedRequestID, true)
 	if answer != nil {
 		answer.Discard()
 	}
--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bilberrymux/core/event"
+	"bilberrymux/io/backend"
 )
 
 // Line is a log line, reduced to the fields that explanations need.
@@ -36,6 +37,8 @@
 	Status            int       `json:"status,omitempty"`
 	Attempts          int       `json:"attempts,omitempty"`
 	Version           uint64    `json:"version,omitempty"`
+	// Connection is the use of the connection to the server, or the zero value if there was none.
+	Connection backend.Use `json:"connection"`
 }
 
 // Cause is the reason why a request ended as it did.
@@ -219,10 +222,10 @@
 func (l *Line) text() string {
 	switch l.Message {
 	case event.AttemptFailed:
-		return fmt.Sprintf("%s at server %s after %d ms (believed sick %.2f, evidence %d ms old) %s",
-			l.Outcome, l.Server, l.TookMillis, l.Risk, l.EvidenceAgeMillis, l.Error)
+		return fmt.Sprintf("%s at server %s after %d ms (believed sick %.2f, evidence %d ms old)%s %s",
+			l.Outcome, l.Server, l.TookMillis, l.Risk, l.EvidenceAgeMillis, l.connectionText(), l.Error)
 	case event.Answered:
-		return fmt.Sprintf("answered %d by server %s after %d ms, %d attempts, version %d", l.Status, l.Server, l.TookMillis, l.Attempts, l.Version)
+		return fmt.Sprintf("answered %d by server %s after %d ms, %d attempts, version %d%s", l.Status, l.Server, l.TookMillis, l.Attempts, l.Version, l.connectionText())
 	case event.Refused:
 		return fmt.Sprintf("refused: %s, outcome %s, after %d ms, version %d", l.Kind, l.Outcome, l.TookMillis, l.Version)
 	case event.FurtherAttempt, event.NoBudget:
@@ -234,3 +237,15 @@
 	}
 	return l.Message + " " + l.Error
 }
+
+// connectionText describes the use of the connection to the server. It is empty if there was none.
+func (l *Line) connectionText() string {
+	if l.Connection.Conn == 0 {
+		return ""
+	}
+	text := fmt.Sprintf(" on connection %d, exchange %d", l.Connection.Conn, l.Connection.Exchange)
+	if l.Connection.Repeated {
+		text += ", which carried this request before"
+	}
+	return text
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -286,8 +286,11 @@
 	defer releaseRequest(req)
 	answer, outcome, err := r.options.Backend.Do(ctx, a.Server.Address, req, backend.Options{
 		AvoidStale: !c.Idempotent,
-		OnConnect: func(reused bool) {
-			a.Reused.Store(reused)
+		OnConnect: func(use backend.Use) {
+			if use.Reused() {
+				r.options.Count("connections.reused", 1)
+			}
+			a.Reused.Store(use.Reused())
 			a.Sent.Store(true)
 		},
 	})
