--- a/io/edge/refusalbytes_test.go
+++ b/io/edge/refusalbytes_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,6 +171,88 @@
 	}
 }
 
+// exchangeAfterRefusal sends a request that a server plainly refuses, and then another one with the same id that the
+// server runs. On the connection of the refusal it writes the given bytes after it has run the second one, on
+// another one it answers. The outcome is that of the second request.
+func exchangeAfterRefusal(written []byte) belief.Outcome {
+	const refusalText = "HTTP/1.1 503 Service Unavailable\r\nBilberrymux-Request-Id: own\r\nBilberrymux-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	const answerText = "HTTP/1.1 200 OK\r\nBilberrymux-Request-Id: own\r\nBilberrymux-Response-Signature: s\r\nContent-Length: 0\r\n\r\n"
+	var refused atomic.Bool
+	e := &Edge{backend: backend.New(backend.ClientOptions{Buffers: bytebudget.New(math.MaxInt64), Dial: func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			r := bufio.NewReader(far)
+			for n := 0; ; n++ {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					return
+				}
+				text := []byte(answerText)
+				if refused.CompareAndSwap(false, true) {
+					text = []byte(refusalText)
+				} else if n > 0 {
+					_, _ = far.Write(written) // the client may have seen enough
+					return
+				}
+				if _, err := far.Write(text); err != nil {
+					return
+				}
+			}
+		}()
+		return near, nil
+	}})}
+	defer e.backend.Expire(time.Now().Add(time.Hour))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var outcome belief.Outcome
+	for range 2 {
+		req := &fasthttp.Request{}
+		req.SetRequestURI("http://server/")
+		req.Header.SetMethod(http.MethodPost)
+		var answer *backend.Answer
+		answer, outcome, _, _ = e.exchange(ctx, "server:1", req, fuzzedRequestID, true)
+		if answer != nil {
+			answer.Discard()
+		}
+	}
+	return outcome
+}
+
+// TestNoBytesAfterRefusalProveNextRequestNotRun guards against promises and repeats for a request whose id its
+// connection has carried before, whatever the server writes.
+func TestNoBytesAfterRefusalProveNextRequestNotRun(t *testing.T) {
+	const cases = 5000
+	r := rand.New(rand.NewPCG(43, 1))
+	mistakes := 0
+	for range cases {
+		text := randomResponse(r)
+		if got := exchangeAfterRefusal([]byte(text)); provesNotRun(got) {
+			if mistakes++; mistakes <= 5 {
+				t.Errorf("ran, and counts as %s: %q", got, text)
+			}
+		}
+	}
+	if mistakes > 0 {
+		t.Errorf("%d of %d requests that ran count as not run", mistakes, cases)
+	}
+}
+
+func FuzzNoBytesAfterRefusalProveNextRequestNotRun(f *testing.F) {
+	r := rand.New(rand.NewPCG(43, 2))
+	for range 50 {
+		f.Add([]byte(randomResponse(r)))
+	}
+	f.Fuzz(func(t *testing.T, written []byte) {
+		if got := exchangeAfterRefusal(written); provesNotRun(got) {
+			t.Errorf("ran, and counts as %s: %q", got, written)
+		}
+	})
+}
+
 func FuzzServerBytesProveNotRunOnlyIfPlain(f *testing.F) {
 	r := rand.New(rand.NewPCG(39, 2))
 	for range 50 {
--- a/io/soak/callers.go
+++ b/io/soak/callers.go
@@ -37,6 +37,16 @@
 // locate response.
 const keepsAddressesEvery = 3
 
+// usesIDsAgainEvery is the number of callers of which one uses the ids of refused requests again.
+const usesIDsAgainEvery = 4
+
+// maxResends is the maximum number of times that a request is sent again under its id, and maxResendPause the
+// maximum pause before.
+const (
+	maxResends     = 2
+	maxResendPause = 20 * time.Millisecond
+)
+
 // caller sends requests one at a time over keep-alive connections and records their outcomes.
 type caller struct {
 	testbed   *testbed
@@ -52,12 +62,14 @@
 	// does not name, on a connection of its own, which is opened up to maxConnectAhead before the request
 	// is sent.
 	connectsAhead bool
-	requests      []Request
+	// usesIDsAgain means that a request that was refused is sent again under its id.
+	usesIDsAgain bool
+	requests     []Request
 }
 
 func newCaller(tb *testbed, n int, seed uint64) *caller {
 	return &caller{
-		testbed: tb, name: fmt.Sprintf("c%d", n), keepsAddresses: n%keepsAddressesEvery == 0, random: rand.New(rand.NewPCG(seed, uint64(n))),
+		testbed: tb, name: fmt.Sprintf("c%d", n), keepsAddresses: n%keepsAddressesEvery == 0, usesIDsAgain: n%usesIDsAgainEvery == 1, random: rand.New(rand.NewPCG(seed, uint64(n))),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 	}
 }
@@ -135,10 +147,33 @@
 	}
 }
 
-// send sends one request to the daemon at an address and returns the request with its outcome.
+// send sends a request to the daemon at an address, once more if it was refused and the caller uses ids again, and
+// returns the request with its last outcome.
 func (c *caller) send(client *http.Client, address, id string) Request {
+	kind, host := c.random.IntN(len(services)), c.random.IntN(hostsPerService)
+	r := c.sendOnce(client, address, id, kind, host)
+	for range maxResends {
+		if !c.usesIDsAgain || !r.refusedAsNotRun() {
+			break
+		}
+		time.Sleep(time.Duration(c.random.Float64() * float64(maxResendPause)))
+		again := c.sendOnce(client, address, id, kind, host)
+		again.Resends = append(r.Resends, again.Begun)
+		again.Begun = r.Begun
+		r = again
+	}
+	return r
+}
+
+// refusedAsNotRun reports whether a request that must not run more than once was refused with the promise that it did
+// not run.
+func (r *Request) refusedAsNotRun() bool {
+	return r.NonIdempotent && (r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests)
+}
+
+// sendOnce sends one request to a host of the service with the given index.
+func (c *caller) sendOnce(client *http.Client, address, id string, kind, host int) Request {
 	p := c.testbed.daemonsByAddress[address]
-	kind := c.random.IntN(len(services))
 	r := Request{ID: id, Daemon: p.name, Service: services[kind], NonIdempotent: kind == 1, Begun: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
@@ -150,7 +185,7 @@
 	if err != nil {
 		panic(err)
 	}
-	req.Host = hostOf(services[kind], c.random.IntN(hostsPerService))
+	req.Host = hostOf(services[kind], host)
 	req.Header.Set(platform.HeaderRequestID, id)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(callerDeadline.Milliseconds()))
 	resp, err := client.Do(req)
--- a/io/soak/check.go
+++ b/io/soak/check.go
@@ -29,6 +29,8 @@
 	IDMatches bool
 	Signed    bool
 	Error     string
+	// Resends holds the times at which the request was sent again under its ID, after a refusal as not run.
+	Resends []time.Time
 	// NoResponseExpected says that a missing response is not the daemon's fault: the caller
 	// could not connect, or its deadline passed.
 	NoResponseExpected bool
@@ -192,7 +194,7 @@
 	if r.NonIdempotent && executions > 1 {
 		c.add(r.Ended, AtMostOnce, "%s ran %d times", r.ID, executions)
 	}
-	if r.NonIdempotent && (r.Status == 503 || r.Status == 429) && executions > 0 {
+	if r.refusedAsNotRun() && executions > 0 {
 		c.add(r.Ended, NotExecutedIsTrue, "%s was said not to have run by %s, and ran", r.ID, r.Daemon)
 	}
 	responseLost := r.Status == 0 && !r.NoResponseExpected && !c.Impaired(r.Daemon, r.Begun, r.Ended)
@@ -283,17 +285,21 @@
 
 func (c *checker) checkExtraAttemptsOf(service string, arrivals []Arrival) {
 	slices.SortFunc(arrivals, func(a, b Arrival) int { return cmp.Or(a.At.Compare(b.At), strings.Compare(a.ID, b.ID)) })
-	seen := map[string]bool{}
+	seen := map[string]int{}
 	var begun, repeats []time.Time
 	for _, a := range arrivals {
-		if seen[a.ID] {
+		sent := 1
+		if r := c.requests[a.ID]; r != nil {
+			sent += len(r.Resends)
+		}
+		if seen[a.ID]++; seen[a.ID] > sent {
 			repeats = append(repeats, a.At)
 		}
-		seen[a.ID] = true
 	}
 	for i := range c.Requests {
 		if c.Requests[i].Service == service {
 			begun = append(begun, c.Requests[i].Begun)
+			begun = append(begun, c.Requests[i].Resends...)
 		}
 	}
 	slices.SortFunc(begun, time.Time.Compare)
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +49,7 @@
 		tb.configure()
 		return nil
 	}},
+	{"refusals copied", copyRefusals},
 	{"server contradicts itself", func(tb *testbed, r *rand.Rand, d time.Duration) error {
 		return failServer(tb, r, d, gridserver.ContradictoryRefusals())
 	}},
@@ -196,6 +198,43 @@
 	return nil
 }
 
+// earlierServers is the number of rows that name the address of each server whose refusals are copied.
+const earlierServers = 3
+
+// copyRefusals makes the servers of a service refuse each request once, or all requests for earlier servers whose
+// rows name their addresses, for the duration d. Before its response to a request that it refused on the same
+// connection a server writes the refusal once more.
+func copyRefusals(tb *testbed, r *rand.Rand, d time.Duration) error {
+	servers := tb.randomService(r)
+	status := []int{http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}[r.IntN(3)]
+	once := r.IntN(2) == 0
+	copies := 0
+	for _, s := range servers {
+		copies -= s.Copies()
+		s.SetMisdirectedStatus(status)
+		s.SetCopiesRefusals(true)
+		if once {
+			s.SetFault(gridserver.ShedOnce)
+			continue
+		}
+		for n := range earlierServers {
+			tb.fleet.AddRow(fmt.Sprintf("%s-earlier-%d", s.id, n), s.id)
+		}
+	}
+	time.Sleep(d)
+	for _, s := range servers {
+		copies += s.Copies()
+		s.SetFault(gridserver.Healthy)
+		s.SetCopiesRefusals(false)
+		s.SetMisdirectedStatus(http.StatusMisdirectedRequest)
+		for n := range earlierServers {
+			tb.fleet.Remove(fmt.Sprintf("%s-earlier-%d", s.id, n))
+		}
+	}
+	tb.addDetail("%s, each request once %v, requests for earlier servers by %d, %d copies", servers[0].service, once, status, copies)
+	return nil
+}
+
 // maxSlowServiceTime is the upper limit of the service time of a slow service.
 const maxSlowServiceTime = 1200 * time.Millisecond
 
--- a/io/standin/backendserver/conn.go
+++ b/io/standin/backendserver/conn.go
@@ -1,10 +1,14 @@
 package backendserver
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/valyala/fasthttp"
 )
 
 // trackingListener registers each accepted connection with its server, so that faults can be
@@ -33,6 +37,8 @@
 	net.Conn
 	server     *Server
 	blackholed atomic.Bool
+	// previous is the last response of the connection. Only the handler of its requests uses it.
+	previous []byte
 }
 
 // Read implements net.Conn. On a blackholed connection it discards incoming data and returns only
@@ -60,6 +66,24 @@
 	return io.Copy(struct{ io.Writer }{c}, r)
 }
 
+// repeatPrevious writes the previous response, if there was one, and counts it.
+func (c *trackedConn) repeatPrevious() {
+	if c.previous == nil {
+		return
+	}
+	c.server.repeated.Add(1)
+	_, _ = c.Write(c.previous) // a client that has left needs no copy
+}
+
+// remember keeps the response that is about to be written.
+func (c *trackedConn) remember(resp *fasthttp.Response) {
+	var out bytes.Buffer
+	w := bufio.NewWriter(&out)
+	if resp.Write(w) == nil && w.Flush() == nil {
+		c.previous = out.Bytes()
+	}
+}
+
 // Close implements net.Conn. It also removes the connection from its server.
 func (c *trackedConn) Close() error {
 	c.server.mu.Lock()
--- a/io/standin/backendserver/faults.go
+++ b/io/standin/backendserver/faults.go
@@ -34,6 +34,9 @@
 	// UnhealthyProbe makes health checks report the server as unhealthy. Without it, they report
 	// healthy regardless of the other faults.
 	UnhealthyProbe bool `json:"sickProbe,omitempty"`
+	// RepeatResponses writes the previous response of a connection once more, after the next request has arrived
+	// and before its own response.
+	RepeatResponses bool `json:"repeatAnswers,omitempty"`
 	// ReportedLoad overrides the load in health reports, in requests in flight.
 	ReportedLoad *int `json:"reportLoad,omitempty"`
 }
--- a/io/standin/backendserver/server.go
+++ b/io/standin/backendserver/server.go
@@ -61,6 +61,7 @@
 	inFlight     atomic.Int32
 	startedNanos atomic.Int64
 	received     atomic.Int64
+	repeated     atomic.Int64
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -216,7 +217,18 @@
 	return maps.Clone(s.keyRuns)
 }
 
+// Repeated returns the number of responses that the server wrote once more.
+func (s *Server) Repeated() int64 {
+	return s.repeated.Load()
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if c, ok := ctx.Conn().(*trackedConn); ok {
+		if s.faultsNow().RepeatResponses {
+			c.repeatPrevious()
+		}
+		defer c.remember(&ctx.Response)
+	}
 	switch string(ctx.Path()) {
 	case PathHealth:
 		s.handleHealth(ctx)
--- a/io/standin/gridfleet/gridfleet.go
+++ b/io/standin/gridfleet/gridfleet.go
@@ -282,6 +282,25 @@
 	return s, nil
 }
 
+// AddRow begins to write a row of another server, which names the address of the server with the id of, as when an
+// address is used again before the row of its earlier server has lapsed.
+func (f *Fleet) AddRow(id, of string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row := *f.servers[of]
+	row.Sequence, row.StartMillis = 0, time.Now().UnixMilli()
+	f.servers[id] = &row
+	f.writeRow(id, &row)
+}
+
+// SetStart makes a server's row name another start time, though the server goes on.
+func (f *Fleet) SetStart(id string, started time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[id].StartMillis = started.UnixMilli()
+	f.writeRow(id, f.servers[id])
+}
+
 // Drain sets the state in a server's row to draining.
 func (f *Fleet) Drain(id string) {
 	f.mu.Lock()
--- a/io/standin/gridfleet/gridfleet_test.go
+++ b/io/standin/gridfleet/gridfleet_test.go
@@ -128,7 +128,12 @@
 
 // send sends one request to a daemon with a new request id and a deadline of 3 s.
 func send(d *Daemon, method, host, path, body string) response {
-	r := response{ID: fmt.Sprintf("id-%d", lastRequestID.Add(1))}
+	return sendAs(d, fmt.Sprintf("id-%d", lastRequestID.Add(1)), method, host, path, body)
+}
+
+// sendAs sends a request like send, with the given request id.
+func sendAs(d *Daemon, id, method, host, path, body string) response {
+	r := response{ID: id}
 	req, err := http.NewRequest(method, "http://"+d.Settings.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
 		r.Err = err
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -31,6 +31,9 @@
 	Error Fault = "error"
 	// Shed responds with status 503 and the header that says that the request did not run.
 	Shed Fault = "shed"
+	// ShedOnce refuses each request like Shed after the service time when it arrives first, and runs it when it
+	// arrives again.
+	ShedOnce Fault = "shedOnce"
 	// UnmarkedRefusal runs the request and responds with a signed status 503 that does not say that it
 	// did not run.
 	UnmarkedRefusal Fault = "unmarkedRefusal"
@@ -78,6 +81,10 @@
 	// asks for no requests, in place of running them; 0 if it does not.
 	leaving atomic.Bool
 	pause   atomic.Int64
+	// copiesRefusals reports whether the server repeats its refusals, and misdirected is the status of its
+	// responses to requests addressed to another instance.
+	copiesRefusals atomic.Bool
+	misdirected    atomic.Int64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -86,6 +93,8 @@
 	log      []Run
 	// arrivalLog holds the requests that reached the server, whether or not they ran.
 	arrivalLog []Run
+	refused    map[string]int
+	copies     int
 	bodies     map[string]string
 	statements []Statement
 }
@@ -129,7 +138,8 @@
 
 // New returns a healthy server that does not listen yet. Each request takes serviceTime.
 func New(id string, serviceTime time.Duration) *Server {
-	s := &Server{conns: map[net.Conn]bool{}, runs: map[string]int{}, bodies: map[string]string{}}
+	s := &Server{conns: map[net.Conn]bool{}, runs: map[string]int{}, refused: map[string]int{}, bodies: map[string]string{}}
+	s.misdirected.Store(http.StatusMisdirectedRequest)
 	s.SetID(id)
 	s.serviceTime.Store(int64(serviceTime))
 	s.SetFault(Healthy)
@@ -250,6 +260,7 @@
 	}()
 	r := bufio.NewReader(c)
 	previous := ""
+	refusals := refusalLog{}
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -260,7 +271,7 @@
 			return
 		}
 		s.repeatRefusal(c, previous)
-		if !s.handle(c, r, req, body.String()) {
+		if !s.handle(c, r, req, body.String(), refusals) {
 			return
 		}
 		previous = req.Header.Get("Bilberrymux-Request-Id")
@@ -284,15 +295,15 @@
 }
 
 // handle processes one request and reports whether the connection stays open.
-func (s *Server) handle(c net.Conn, r *bufio.Reader, req *http.Request, body string) bool {
+func (s *Server) handle(c net.Conn, r *bufio.Reader, req *http.Request, body string, refusals refusalLog) bool {
 	id := req.Header.Get("Bilberrymux-Request-Id")
 	if target := req.Header.Get("Bilberrymux-Target-Instance"); target != "" && target != s.ID() {
-		s.writeResponse(c, id, 421, "", "Bilberrymux-Instance-Id: "+s.ID()+"\r\n")
+		s.refuseMisdirected(c, id, refusals)
 		return true
 	}
 	s.recordArrival(id)
 	if pause := time.Duration(s.pause.Load()); pause > 0 {
-		s.writeResponse(c, id, 503, "", fmt.Sprintf("Bilberrymux-Not-Executed: 1\r\nRetry-After: %g\r\n", pause.Seconds()))
+		s.refuse(c, id, 503, fmt.Sprintf("Bilberrymux-Not-Executed: 1\r\nRetry-After: %g\r\n", pause.Seconds()), refusals)
 		s.recordStatement(Statement{ID: id, At: time.Now(), Pause: pause})
 		return true
 	}
@@ -302,8 +313,14 @@
 		resetConn(c)
 		return false
 	case Shed:
-		s.writeResponse(c, id, 503, "", "Bilberrymux-Not-Executed: 1\r\n")
+		s.refuse(c, id, 503, "Bilberrymux-Not-Executed: 1\r\n", refusals)
 		return true
+	case ShedOnce:
+		if !s.wasRefused(id) {
+			time.Sleep(time.Duration(s.serviceTime.Load()))
+			s.refuse(c, id, 503, "Bilberrymux-Not-Executed: 1\r\n", refusals)
+			return true
+		}
 	case Crash:
 		s.mu.Lock()
 		s.listener.Close()
@@ -315,6 +332,7 @@
 	if !s.run(c, r, id, body, fault) {
 		return false
 	}
+	s.copyRefusal(c, id, refusals)
 	return s.respond(c, id, fault)
 }
 
@@ -437,8 +455,8 @@
 // UnframedBody.
 const faultDelay = 20 * time.Millisecond
 
-// writeResponse writes a complete HTTP response. Each of the extra headers ends with CRLF.
-func (s *Server) writeResponse(c net.Conn, id string, status int, body, headers string) {
+// writeResponse writes a complete HTTP response and returns it. Each of the extra headers ends with CRLF.
+func (s *Server) writeResponse(c net.Conn, id string, status int, body, headers string) string {
 	if limit := *s.limit.Load(); limit != "" {
 		headers += "Server-Limit: " + limit + "\r\n"
 	}
@@ -446,9 +464,11 @@
 	if leaving {
 		headers += "Server-Leaving: 1\r\n"
 	}
-	fmt.Fprintf(c, "HTTP/1.1 %s\r\nBilberrymux-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+	text := fmt.Sprintf("HTTP/1.1 %s\r\nBilberrymux-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		strconv.Itoa(status)+" "+http.StatusText(status), id, headers, len(body), body)
+	_, _ = io.WriteString(c, text) // a client that has left needs no response
 	if leaving {
 		s.recordStatement(Statement{ID: id, At: time.Now(), Leaving: true})
 	}
+	return text
 }
