--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,12 +38,10 @@
 	net.Conn
 	// number numbers the connections of a client, from 1.
 	number uint64
-	// exchanges is the number of exchanges that the connection has carried, and carried holds the hashes of
-	// their request IDs.
-	exchanges int
-	carried   []uint64
-	br        *bufio.Reader
-	bw        *bufio.Writer
+	// carried holds the IDs of all requests that the connection has carried.
+	carried []idHash
+	br      *bufio.Reader
+	bw      *bufio.Writer
 	// idleSince is the time of the connection's last return to the pool.
 	idleSince time.Time
 	// generation is the generation of the pool when the connection was dialled.
@@ -52,8 +51,9 @@
 	// keepAlive is the maximum idle time of the connection, from the Keep-Alive header
 	// of the server's last response.
 	keepAlive time.Duration
-	// mismatched reports whether the connection carried a response to another request.
-	mismatched bool
+	// mismatched reports whether the connection carried a response to another request, and anonymous whether it
+	// carried one that named none.
+	mismatched, anonymous bool
 	// head is the head of the current response, if that is well-formed and has an error status, and trailers
 	// the names of its trailers.
 	head     *httphead.Head
@@ -114,6 +114,10 @@
 	CloseCancelled CloseReason = "cancelled"
 	// CloseMismatched means that the connection carried a response to another request.
 	CloseMismatched CloseReason = "spoiled"
+	// CloseAnonymous means that the connection carried a response that named no request.
+	CloseAnonymous CloseReason = "anonymous"
+	// CloseUsedUp means that the connection carried maxExchanges exchanges.
+	CloseUsedUp CloseReason = "usedUp"
 	// CloseIdle means that the connection was idle for too long.
 	CloseIdle CloseReason = "idle"
 	// CloseStale means that the server closed the idle connection or wrote to it.
@@ -124,37 +128,40 @@
 	CloseInvalidated CloseReason = "givenUp"
 )
 
-// take removes and returns the most recently used connection that passes the checks
-// for idle time and liveness, or returns nil. It closes the connections that fail them.
-func (p *connPool) take(now time.Time, limit time.Duration) *serverConn {
+// take removes and returns the most recently used connection that has not carried the ID and passes the checks
+// for idle time and liveness, or returns nil. It closes the connections that fail the checks. avoided reports whether
+// one was left out because it had carried the ID.
+func (p *connPool) take(now time.Time, limit time.Duration, id idHash) (c *serverConn, avoided bool) {
 	for {
-		c := p.pop()
+		c, left := p.pop(id)
+		avoided = avoided || left
 		if c == nil {
-			return nil
+			return nil, avoided
 		}
 		if now.Sub(c.idleSince) > min(limit, c.keepAlive) {
 			p.closeConn(c, CloseIdle)
 			continue
 		}
 		if c.alive() {
-			return c
+			return c, avoided
 		}
 		p.closeConn(c, CloseStale)
 	}
 }
 
-// pop removes and returns the most recently used connection, or returns nil.
-func (p *connPool) pop() *serverConn {
+// pop removes and returns the most recently used connection that has not carried the ID, or returns nil. avoided
+// reports whether one that was used later was left out.
+func (p *connPool) pop(id idHash) (c *serverConn, avoided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	last := len(p.conns) - 1
-	if last < 0 {
-		return nil
+	for i, c := range slices.Backward(p.conns) {
+		if !c.hasCarried(id) {
+			p.conns = slices.Delete(p.conns, i, i+1)
+			return c, avoided
+		}
+		avoided = true
 	}
-	c := p.conns[last]
-	p.conns[last] = nil
-	p.conns = p.conns[:last]
-	return c
+	return nil, avoided
 }
 
 // put returns a connection to the pool. It closes the connection if the pool was
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -13,8 +13,9 @@
 )
 
 // exchange writes the request and reads the headers of the response, whose body
-// becomes a stream. It skips up to maxMismatched responses to other requests.
-func (sc *serverConn) exchange(req *fasthttp.Request, resp *fasthttp.Response, isMismatched func(*fasthttp.ResponseHeader) bool) error {
+// becomes a stream. It skips up to maxMismatched responses to other requests. A response that names no request counts
+// only as the first one of a connection that has carried nothing else.
+func (sc *serverConn) exchange(req *fasthttp.Request, resp *fasthttp.Response, identity *Identity) error {
 	if err := req.Write(sc.bw); err != nil {
 		return err
 	}
@@ -28,10 +29,21 @@
 		if err := resp.ReadLimitBody(sc.br, 0); err != nil {
 			return err
 		}
-		if isMismatched == nil || !isMismatched(&resp.Header) {
+		switch identity.relate(&resp.Header) {
+		case namesOwn:
 			return nil
+		case namesBoth:
+			sc.mismatched = true
+			return nil
+		case namesNone:
+			sc.anonymous = true
+			if sc.reused || sc.mismatched {
+				return errAnonymous
+			}
+			return nil
+		case namesOther:
+			sc.mismatched = true
 		}
-		sc.mismatched = true
 		if err := skipBody(resp); err != nil {
 			return err
 		}
@@ -47,6 +59,9 @@
 // requests.
 var errMismatched = errors.New("backend: received only responses to other requests")
 
+// errAnonymous is returned for a response that may belong to another request, since it names none.
+var errAnonymous = errors.New("backend: received a response that names no request")
+
 // skipBody reads and discards the body of a response, and resets the response. A body of more than
 // maxBufferedBody bytes, which may have no end, is an error.
 func skipBody(resp *fasthttp.Response) error {
--- a/io/backend/response.go
+++ b/io/backend/response.go
@@ -72,6 +72,8 @@
 		c.closeConn(sc, CloseMismatched)
 	case resp.ConnectionClose():
 		c.closeConn(sc, CloseByServer)
+	case !sc.reusable():
+		c.closeConn(sc, sc.retireReason())
 	default:
 		sc.keepAlive = keepAliveTime(&resp.Header)
 		c.pool(address).put(time.Now(), sc)
@@ -108,7 +110,7 @@
 	resp.Header.CopyTo(&answer.Response.Header)
 	body.onClose = func(complete bool) {
 		head.release()
-		reusable := stop() && complete && !sc.mismatched && !resp.ConnectionClose()
+		reusable := stop() && complete && sc.reusable() && !resp.ConnectionClose()
 		outcome := shard.Good
 		switch {
 		case complete:
@@ -136,8 +138,8 @@
 	switch {
 	case outcome != shard.Good:
 		return closeReason(outcome)
-	case sc.mismatched:
-		return CloseMismatched
+	case !sc.reusable():
+		return sc.retireReason()
 	}
 	return CloseByServer
 }
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -57,10 +57,8 @@
 func (e *Edge) exchange(ctx context.Context, address string, req *fasthttp.Request, id string, avoidStale bool) (*backend.Answer, belief.Outcome, backend.Use, error) {
 	var use backend.Use
 	answer, outcome, err := e.backend.Do(ctx, address, req, backend.Options{
-		AvoidStale: avoidStale, RequestID: id, OnConnect: func(u backend.Use) { use = u },
-		IsMismatched: func(h *fasthttp.ResponseHeader) bool {
-			return platform.IsForeign(h, id)
-		},
+		AvoidStale: avoidStale, Identity: &backend.Identity{ID: id, Of: platform.RequestIDs},
+		OnConnect: func(u backend.Use) { use = u },
 	})
 	return answer, outcomeOf(answer, outcome, id), use, err
 }
@@ -92,8 +90,8 @@
 func (e *Edge) recordAttempt(k *call, result attemptResult, took time.Duration) {
 	a := result.attempt
 	e.countBy("attempts", "outcome", string(result.outcome))
-	if result.use.Repeated {
-		e.count("connections.repeated")
+	if result.use.Avoided {
+		e.count("connections.avoided")
 	}
 	if result.outcome == belief.Good {
 		return
--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -244,8 +244,8 @@
 		return ""
 	}
 	text := fmt.Sprintf(" on connection %d, exchange %d", l.Connection.Conn, l.Connection.Exchange)
-	if l.Connection.Repeated {
-		text += ", which carried this request before"
+	if l.Connection.Avoided {
+		text += ", not on one that had carried this request"
 	}
 	return text
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -174,9 +174,9 @@
 	return nil
 }
 
-// ownHeaders lists the headers by which only a daemon speaks to callers, and that by which servers tell a daemon
-// that they did not run a request. They are not passed on from servers.
-var ownHeaders = []string{RefusalHeader, OutcomeHeader, OwnerHeader, ReplayedHeader, backend.NotRunHeader}
+// ownHeaders lists the headers by which only a daemon speaks to callers, and those by which servers tell a daemon
+// that they did not run a request, and which attempt they answer. They are not passed on from servers.
+var ownHeaders = []string{RefusalHeader, OutcomeHeader, OwnerHeader, ReplayedHeader, backend.NotRunHeader, backend.AttemptIDHeader}
 
 // writeAnswer copies a backend server's answer to the caller's response, without ownHeaders and the headers that
 // apply to a single connection.
--- a/io/standin/backendserver/faults.go
+++ b/io/standin/backendserver/faults.go
@@ -37,6 +37,8 @@
 	// RepeatResponses writes the previous response of a connection once more, after the next request has arrived
 	// and before its own response.
 	RepeatResponses bool `json:"repeatAnswers,omitempty"`
+	// NoAttemptIDs leaves out of the responses the ID of the attempt that they answer.
+	NoAttemptIDs bool `json:"noAttemptIds,omitempty"`
 	// ReportedLoad overrides the load in health reports, in requests in flight.
 	ReportedLoad *int `json:"reportLoad,omitempty"`
 }
--- a/io/standin/backendserver/server.go
+++ b/io/standin/backendserver/server.go
@@ -223,12 +223,16 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	f := s.faultsNow()
 	if c, ok := ctx.Conn().(*trackedConn); ok {
-		if s.faultsNow().RepeatResponses {
+		if f.RepeatResponses {
 			c.repeatPrevious()
 		}
 		defer c.remember(&ctx.Response)
 	}
+	if id := ctx.Request.Header.Peek(backend.AttemptIDHeader); len(id) > 0 && !f.NoAttemptIDs {
+		defer ctx.Response.Header.SetBytesV(backend.AttemptIDHeader, id)
+	}
 	switch string(ctx.Path()) {
 	case PathHealth:
 		s.handleHealth(ctx)
@@ -410,8 +414,9 @@
 // truncate announces the full length of the body, sends half of it and closes the connection.
 func (s *Server) truncate(ctx *fasthttp.RequestCtx) {
 	body := append([]byte(nil), ctx.Response.Body()...)
+	id := append([]byte(nil), ctx.Request.Header.Peek(backend.AttemptIDHeader)...)
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2])
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", backend.AttemptIDHeader, id, len(body), body[:len(body)/2])
 	})
 }
