--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -8,6 +8,9 @@
 	"fmt"
 	"net"
 	"net/url"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -53,6 +56,27 @@
 type client struct {
 	base string
 	http *fasthttp.Client
+
+	mu sync.Mutex
+	// revisions holds the last revisions that transactions returned, in a ring whose oldest entry is at next.
+	revisions [rememberedRevisions]store.Revision
+	next      int
+}
+
+// rememberedRevisions is the number of revisions by which a repeated response to a transaction is recognized.
+const rememberedRevisions = 1024
+
+// isNew records the revision that a transaction returned, and reports whether no other one returned it before. The
+// revisions of two transactions differ, so that the response belongs to another call otherwise.
+func (c *client) isNew(r store.Revision) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.revisions[:], r) {
+		return false
+	}
+	c.revisions[c.next] = r
+	c.next = (c.next + 1) % rememberedRevisions
+	return true
 }
 
 // New returns a store that calls the platform at an address over connections opened with dial. If the
@@ -143,6 +167,11 @@
 	if err := decode(body, &reply); err != nil {
 		return nil, err
 	}
+	for _, row := range reply.Rows {
+		if !strings.HasPrefix(row.Key, prefix) || row.Key <= after {
+			return nil, fmt.Errorf("%w: got row %q for prefix %q after %q", store.ErrNoResponse, row.Key, prefix, after)
+		}
+	}
 	return reply.Rows, nil
 }
 
@@ -163,6 +192,9 @@
 	}
 	switch status {
 	case fasthttp.StatusOK:
+		if !c.isNew(reply.Revision) {
+			return 0, fmt.Errorf("%w: got the response to another transaction, revision %d", store.ErrNoResponse, reply.Revision)
+		}
 		return reply.Revision, nil
 	case fasthttp.StatusConflict:
 		return 0, &store.ConflictError{Keys: reply.Conflicts}
