--- a/io/standin/gridfleet/copies_test.go
+++ b/io/standin/gridfleet/copies_test.go
@@ -166,3 +166,28 @@
 	wg.Wait()
 	t.Logf("%d bookings were refused and sent again, %d copies of refusals", server.RunsAfterRefusal(), server.Copies())
 }
+
+// TestCopyOfRefusalIsNoPromiseForRequestWithoutID guards against the same for requests that bear no id, of which any two
+// look alike.
+func TestCopyOfRefusalIsNoPromiseForRequestWithoutID(t *testing.T) {
+	f, servers := start(t, Options{DaemonsPerZone: 1})
+	for _, id := range []string{"booker-1", "booker-2"} {
+		servers[id].SetFault(gridserver.ShedOnce)
+		servers[id].SetCopiesRefusals(true)
+	}
+	runs := func() int { return servers["booker-1"].Runs()[""] + servers["booker-2"].Runs()[""] }
+	for range 40 {
+		before := runs()
+		r := sendAs(f.Daemons[0], "", http.MethodPost, bookHost, "/b/x", "a visit")
+		ran := runs() - before
+		if ran > 1 {
+			t.Errorf("a booking ran %d times, want at most once", ran)
+		}
+		if ran > 0 && (r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests) {
+			t.Error("a booking was refused as not run, and ran")
+		}
+	}
+	if runs() == 0 {
+		t.Error("no booking ran")
+	}
+}
