--- a/core/once/bench_test.go
+++ b/core/once/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime"
 	"testing"
 
@@ -17,7 +18,7 @@
 			runtime.ReadMemStats(&before)
 			var table *once.Table
 			for b.Loop() {
-				table = once.NewTable(once.DefaultRetention())
+				table = once.NewTable(once.DefaultRetention(), math.MaxInt64)
 				for i := range n {
 					k := once.Key{Scope: "org", Text: once.NewKeyPermit("vm-1~3f2c9a1e-77", start) + fmt.Sprint(".order-", i)}
 					r, _ := table.Begin(start, &k, 1)
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	done        chan struct{}
 	outcome     Outcome
 	ended       bool
+	// dropped reports whether the answer was removed from memory, though the record is kept.
+	dropped bool
 }
 
 // Done returns a channel that is closed when the run has ended.
@@ -52,12 +55,6 @@
 	return r.done
 }
 
-// Outcome returns the outcome of the run. It must only be called after the channel of Done is
-// closed.
-func (r *Record) Outcome() Outcome {
-	return r.outcome
-}
-
 // Role states how a request relates to the run of its key.
 type Role string
 
@@ -77,17 +74,57 @@
 // use.
 type Table struct {
 	retention Retention
+	// maxAnswerBytes bounds what the answers of all records hold together.
+	maxAnswerBytes int64
 
 	mu      sync.Mutex
 	records map[string]*Record
+	// answered lists the records with answers in the order in which their runs ended, and answerBytes is the
+	// size of these answers.
+	answered    []*Record
+	answerBytes int64
 	// clock is the latest time passed to the table. It never goes back, so that a key that was
 	// refused as expired is always refused.
 	clock time.Time
 }
 
-// NewTable returns a table without records.
-func NewTable(retention Retention) *Table {
-	return &Table{retention: retention, records: map[string]*Record{}}
+// NewTable returns a table without records. Its records hold answers of up to maxAnswerBytes together; the oldest
+// ones are dropped beyond.
+func NewTable(retention Retention, maxAnswerBytes int64) *Table {
+	return &Table{retention: retention, maxAnswerBytes: maxAnswerBytes, records: map[string]*Record{}}
+}
+
+// Outcome returns the outcome of a run that has ended, or false if its answer was dropped.
+func (t *Table) Outcome(r *Record) (o Outcome, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return r.outcome, !r.dropped
+}
+
+// AnswerBytes returns the bytes of all answers in memory.
+func (t *Table) AnswerBytes() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answerBytes
+}
+
+// keepAnswer adds the answer of a record, and drops the oldest ones beyond the limit. The caller must hold t.mu.
+func (t *Table) keepAnswer(r *Record) {
+	t.answered = append(t.answered, r)
+	t.answerBytes += int64(len(r.outcome.Answer))
+	for t.answerBytes > t.maxAnswerBytes {
+		t.dropAnswer(t.answered[0])
+		t.answered = t.answered[1:]
+	}
+}
+
+// dropAnswer removes the answer of a record from memory. The caller must hold t.mu.
+func (t *Table) dropAnswer(r *Record) {
+	if r.dropped {
+		return
+	}
+	t.answerBytes -= int64(len(r.outcome.Answer))
+	r.dropped, r.outcome.Answer = true, nil
 }
 
 // recordKey returns the map key of the record of k.
@@ -144,6 +181,9 @@
 	if o.Refused != nil && o.Refused.Outcome() == refusal.NotRun {
 		delete(t.records, recordKey(k))
 	}
+	if o.Answer != nil {
+		t.keepAnswer(r)
+	}
 	close(r.done)
 }
 
@@ -158,9 +198,13 @@
 	for n, r := range t.records {
 		if r.ended && now.Sub(r.startedAt) > t.retention.Records+maxFutureSkew {
 			delete(t.records, n)
+			if r.outcome.Answer != nil {
+				t.dropAnswer(r)
+			}
 			dropped++
 		}
 	}
+	t.answered = slices.DeleteFunc(t.answered, func(r *Record) bool { return r.dropped })
 	return dropped
 }
 
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -1,6 +1,7 @@
 package once_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 func TestPermitRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := once.Retention{Records: time.Hour, Answers: time.Hour, Keys: 2 * time.Hour}
-		table := once.NewTable(w)
+		table := once.NewTable(w, math.MaxInt64)
 		now := start
 		runs := map[string]int{}
 		var keys []once.Key
@@ -85,7 +86,7 @@
 // TestKeyReuseForOtherRequest checks that a key is refused for a second request with a different
 // fingerprint, while a resend of the first request becomes a follower.
 func TestKeyReuseForOtherRequest(t *testing.T) {
-	table := once.NewTable(once.DefaultRetention())
+	table := once.NewTable(once.DefaultRetention(), math.MaxInt64)
 	k := once.Key{Scope: "org", Text: "k"}
 	if _, role := table.Begin(start, &k, 1); role != once.First {
 		t.Fatalf("role of the first request is %s, want first", role)
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -69,6 +69,10 @@
 	LiveDaemons    int               `json:"liveDaemons"`
 	InFlight       int64             `json:"inFlight"`
 	RememberedKeys int               `json:"rememberedKeys"`
+	// KeptAnswerBytes are held by answers that are kept for resends, and QueuedAnswerBytes by those that wait to be
+	// written to the store.
+	KeptAnswerBytes   int64 `json:"keptAnswerBytes"`
+	QueuedAnswerBytes int64 `json:"queuedAnswerBytes"`
 }
 
 // Options are the dependencies of an Admin.
--- a/io/daemon/admin.go
+++ b/io/daemon/admin.go
@@ -24,10 +24,12 @@
 // status returns a summary of this daemon's state for operators.
 func (d *Daemon) status() admin.Status {
 	self := d.members.Self()
+	kept, queued := d.once.AnswerBytes()
 	return admin.Status{
 		VM: self.VM, Incarnation: self.Incarnation, Region: self.Region, Zone: self.Zone, State: self.State,
 		Version: d.ConfigVersion(), Build: Build, Started: d.started, LiveDaemons: d.Members().LiveCount(),
 		InFlight: d.front.InFlight(), RememberedKeys: d.once.Records(),
+		KeptAnswerBytes: kept, QueuedAnswerBytes: queued,
 	}
 }
 
--- a/io/once/batch.go
+++ b/io/once/batch.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/store"
 	"bilberrymux/io/periodic"
 )
@@ -40,6 +41,8 @@
 type pendingWrite struct {
 	write store.Write
 	done  chan error
+	// taken is the number of bytes that the write holds of the batcher's budget.
+	taken int64
 }
 
 // batcher combines the writes of many requests into few transactions.
@@ -53,6 +56,8 @@
 	flush chan struct{}
 	// retryUnavailable makes the batcher repeat a batch until the store answers.
 	retryUnavailable bool
+	// bytes bounds the values of the writes that enqueue has queued. It may be nil if enqueue is not used.
+	bytes *bytebudget.Budget
 	// unfinished is the number of writes that are queued or being written.
 	unfinished atomic.Int64
 }
@@ -90,13 +95,18 @@
 }
 
 // enqueue queues a write without waiting for its transaction. It returns false if the queue is
-// full.
+// full, or its values hold as many bytes as they may.
 func (b *batcher) enqueue(w store.Write) bool {
+	size := int64(len(w.Value))
+	if !b.bytes.TryTake(size) {
+		return false
+	}
 	select {
-	case b.queue <- &pendingWrite{write: w, done: make(chan error, 1)}:
+	case b.queue <- &pendingWrite{write: w, done: make(chan error, 1), taken: size}:
 		b.unfinished.Add(1)
 		return true
 	default:
+		b.bytes.Return(size)
 		return false
 	}
 }
@@ -144,6 +154,9 @@
 // complete passes the result of a write to its sender.
 func (b *batcher) complete(p *pendingWrite, err error) {
 	b.unfinished.Add(-1)
+	if p.taken > 0 {
+		b.bytes.Return(p.taken)
+	}
 	p.done <- err
 }
 
--- a/io/once/history_test.go
+++ b/io/once/history_test.go
@@ -76,6 +76,8 @@
 type cluster struct {
 	tab       *table.Table
 	wrapStore func(*store.Store) *store.Store
+	// maxAnswerBytes is the limit of the answers of each daemon. Zero means the default.
+	maxAnswerBytes int64
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -109,7 +111,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.runner = once.New(once.Options{
-		Self: d.self, Store: c.wrapStore(c.tab.Store()), Retention: coreonce.DefaultRetention(),
+		Self: d.self, Store: c.wrapStore(c.tab.Store()), Retention: coreonce.DefaultRetention(), MaxAnswerBytes: c.maxAnswerBytes,
 		IncarnationEnded: func(inc ident.Incarnation) bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -182,6 +184,8 @@
 	callerCount    = 6
 	sendsPerCaller = 12
 	keyCount       = 6
+	// fewAnswerBytes have room for one or two answers, so that most are dropped from memory.
+	fewAnswerBytes = 20
 )
 
 // runHistory simulates callers that send and resend a few keys while daemons restart and the store
@@ -191,6 +195,9 @@
 		tab: table.New(seed), wrapStore: wrapStore, random: rand.New(rand.NewPCG(seed, 3)),
 		daemons: make([]*daemon, daemonCount), ended: map[ident.Incarnation]bool{}, runs: map[string]int{},
 	}
+	if seed%2 == 1 {
+		c.maxAnswerBytes = fewAnswerBytes
+	}
 	synctest.Test(t, func(*testing.T) {
 		begin := time.Now()
 		c.tab.SetFaults(table.Faults{LoseReplyFraction: 0.15, LoseRequestFraction: 0.15, DelayMillis: 20})
--- a/io/once/once.go
+++ b/io/once/once.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/once"
 	"bilberrymux/core/refusal"
@@ -42,8 +43,14 @@
 	Count func(name string)
 	// Daemons returns the number of daemons in the fleet. If it is nil, one daemon is assumed.
 	Daemons func() int
+	// MaxAnswerBytes bounds the answers that are kept in memory for resends, and those that wait to be written
+	// to the store, each together. If it is zero, it is defaultAnswerBytes.
+	MaxAnswerBytes int64
 }
 
+// defaultAnswerBytes is the default of Options.MaxAnswerBytes.
+const defaultAnswerBytes = 16 << 20
+
 // Runner runs each request with an idempotency key at most once. It is safe for concurrent use.
 type Runner struct {
 	options   Options
@@ -61,13 +68,17 @@
 	if o.Daemons == nil {
 		o.Daemons = func() int { return 1 }
 	}
+	if o.MaxAnswerBytes == 0 {
+		o.MaxAnswerBytes = defaultAnswerBytes
+	}
 	r := &Runner{
 		options:  o,
-		table:    once.NewTable(o.Retention),
+		table:    once.NewTable(o.Retention, o.MaxAnswerBytes),
 		claims:   newBatcher(o.Store, maxClaimRows, func() time.Duration { return claimDelay }),
 		outcomes: newBatcher(o.Store, maxOutcomeRows, func() time.Duration { return outcomeDelay(o.Daemons()) }),
 	}
 	r.outcomes.retryUnavailable = true
+	r.outcomes.bytes = bytebudget.New(o.MaxAnswerBytes)
 	return r
 }
 
@@ -91,6 +102,12 @@
 	return r.table.Len()
 }
 
+// AnswerBytes returns the bytes of the answers that are kept in memory for resends, and of the outcomes that wait to
+// be written to the store.
+func (r *Runner) AnswerBytes() (kept, queued int64) {
+	return r.table.AnswerBytes(), r.outcomes.bytes.Held()
+}
+
 // Pending returns the number of outcomes that are not yet written to the store.
 func (r *Runner) Pending() int64 {
 	return r.outcomes.unfinished.Load()
@@ -115,7 +132,7 @@
 	case once.Expired:
 		return refused(refusal.KeyExpired)
 	case once.Follower:
-		return r.waitForRun(ctx, record)
+		return r.waitForRun(ctx, req, record)
 	default:
 		return r.runFirst(ctx, req, record)
 	}
@@ -133,15 +150,35 @@
 	return once.Outcome{Refused: e}
 }
 
-// waitForRun waits until the run of the record has ended and returns its outcome.
-func (r *Runner) waitForRun(ctx context.Context, record *once.Record) once.Outcome {
+// waitForRun waits until the run of the record has ended and returns its outcome. If the answer is no longer in
+// memory, it is read from the claim row.
+func (r *Runner) waitForRun(ctx context.Context, req *Request, record *once.Record) once.Outcome {
 	select {
 	case <-record.Done():
-		r.options.Count("once.replayed")
-		return record.Outcome()
 	case <-ctx.Done():
 		return refused(refusal.KeyInFlight)
 	}
+	outcome, ok := r.table.Outcome(record)
+	if !ok {
+		return r.readAnswer(ctx, req)
+	}
+	r.options.Count("once.replayed")
+	return outcome
+}
+
+// readAnswer returns the stored answer of a key whose run has ended, or a refusal which states that it ran.
+func (r *Runner) readAnswer(ctx context.Context, req *Request) once.Outcome {
+	claim, ok, err := r.readClaim(ctx, &req.Key)
+	switch {
+	case err != nil:
+		return refusedMayHaveRun(refusal.StoreUnavailable)
+	case ok && claim.Answer != nil && claim.Fingerprint == req.Fingerprint:
+		r.options.Count("once.readBack")
+		return once.Outcome{Answer: claim.Answer}
+	case ok && claim.AnswerDropped:
+		return refused(refusal.KeyExpired)
+	}
+	return refused(refusal.KeyOutcomeUnknown)
 }
 
 // runFirst runs the request as the only run of its key. For a plain key it writes the claim first,
@@ -298,11 +335,24 @@
 	if len(o.Answer) <= maxRowAnswerBytes {
 		claim.Answer = o.Answer
 	}
-	row, err := json.Marshal(claim)
-	if err != nil {
+	if r.enqueueOutcome(key, &claim) {
 		return
 	}
-	if !r.outcomes.enqueue(store.Write{Key: key, Value: row, Expect: store.Anything}) {
+	// Without its answer the row still tells that the request must not run again.
+	claim.Answer = nil
+	if !r.enqueueOutcome(key, &claim) {
 		r.options.Count("once.outcomeDropped")
+		return
+	}
+	r.options.Count("once.answerNotStored")
+}
+
+// enqueueOutcome queues the write of a claim row, and reports whether there was room for it.
+func (r *Runner) enqueueOutcome(key string, claim *once.Claim) bool {
+	row, err := json.Marshal(claim)
+	if err != nil {
+		r.options.Count("once.outcomeInvalid")
+		return false
 	}
+	return r.outcomes.enqueue(store.Write{Key: key, Value: row, Expect: store.Anything})
 }
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/once"
 	"bilberrymux/core/refusal"
@@ -77,10 +78,19 @@
 // key. The answer is held in memory, so that it can be replayed when the caller resends the request.
 const maxStoredAnswerBytes = 8 << 20
 
-// encodeAnswer reads the whole answer, including a streamed body, and encodes it as HTTP/1.1. It
+// encodeAnswer reads the whole answer, including a streamed body within the budget, and encodes it as HTTP/1.1. It
 // closes the body stream.
-func encodeAnswer(a *backend.Answer) ([]byte, *refusal.Error) {
+func encodeAnswer(a *backend.Answer, buffers *bytebudget.Budget) ([]byte, *refusal.Error) {
 	if a.Streamed {
+		size := int64(maxStoredAnswerBytes)
+		if n := a.Response.Header.ContentLength(); n >= 0 {
+			size = min(size, int64(n))
+		}
+		if !buffers.TryTake(size) {
+			a.Discard()
+			return nil, refusal.New(refusal.ResponseTooLarge, "no memory is left for %d bytes", size)
+		}
+		defer buffers.Return(size)
 		body, err := io.ReadAll(io.LimitReader(a.Response.BodyStream(), maxStoredAnswerBytes+1))
 		_ = a.Response.CloseBodyStream()
 		if err != nil {
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bilberrymux/core/admit"
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/config"
 	"bilberrymux/core/ident"
 	"bilberrymux/core/link"
@@ -48,13 +49,18 @@
 type Router struct {
 	options          Options
 	forwardsInFlight atomic.Int64
+	// answerBuffers bounds the bodies of large answers to requests with keys while they are read.
+	answerBuffers *bytebudget.Budget
 	// gate rejects the calls of other daemons that may outlast a planned stop.
 	gate shutdown.Gate
 }
 
+// answerBufferBytes is the number of bytes that the bodies of large answers to requests with keys may hold together.
+const answerBufferBytes = 4 * maxStoredAnswerBytes
+
 // New returns a router with the given dependencies.
 func New(o Options) *Router {
-	return &Router{options: o}
+	return &Router{options: o, answerBuffers: bytebudget.New(answerBufferBytes)}
 }
 
 // Drain makes the router refuse the calls of other daemons that the plan doesn't accept.
@@ -91,7 +97,7 @@
 			defer cancel()
 			reply := r.run(ctx, c)
 			owner = reply.Owner
-			return toOutcome(reply)
+			return r.toOutcome(reply)
 		},
 		Forward: func(ctx context.Context, decider ident.Incarnation) (coreonce.Outcome, bool) {
 			return r.askDecider(ctx, c, decider)
@@ -108,11 +114,11 @@
 }
 
 // toOutcome encodes a reply as the outcome that is stored for resends of its key.
-func toOutcome(reply Reply) coreonce.Outcome {
+func (r *Router) toOutcome(reply Reply) coreonce.Outcome {
 	if reply.Refused != nil {
 		return coreonce.Outcome{Refused: reply.Refused}
 	}
-	raw, refused := encodeAnswer(reply.Answer)
+	raw, refused := encodeAnswer(reply.Answer, r.answerBuffers)
 	return coreonce.Outcome{Answer: raw, Refused: refused}
 }
 
@@ -127,7 +133,7 @@
 	for range 2 {
 		reply, err := r.forward(ctx, e, c, ident.ShardID{Service: c.Service}, c.Key)
 		if err == nil {
-			return toOutcome(reply), true
+			return r.toOutcome(reply), true
 		}
 	}
 	return coreonce.Outcome{}, false
