--- a/core/refresh/fetches_test.go
+++ b/core/refresh/fetches_test.go
@@ -68,3 +68,29 @@
 	now = now.Add(minBusyPause + busyPauseSpread)
 	begin(true)
 }
+
+// TestBusyPeerDelaysNoFetchFromOthers guards against a daemon that was told to come back, and meanwhile asks nobody who
+// has the data.
+func TestBusyPeerDelaysNoFetchFromOthers(t *testing.T) {
+	f, now := NewFetches(func() float64 { return 1 }), time.Unix(1000, 0)
+	begin := func(peer string, want bool) {
+		t.Helper()
+		if got := f.Begin(now, ident.VMID(peer), Target{}, func() {}); got != want {
+			t.Errorf("fetch from %s after %v: got %v, want %v", peer, now.Sub(time.Unix(1000, 0)), got, want)
+		}
+	}
+	begin("busy", true)
+	f.Busy(now, "busy")
+	begin("other", true)
+	f.Fail("other")
+	now = now.Add(minBusyPause + busyPauseSpread)
+	// Its link is full, so that it sends slowly.
+	begin("busy", true)
+	begin("other", true)
+	begin("third", false)
+	f.Fail("busy")
+	f.Fail("other")
+	now = now.Add(busyMemory)
+	begin("busy", true)
+	begin("other", false)
+}
