backend: pool, connection and identity in files of their own; one buffer with a budget

How the code reads: io/backend/conn.go held connection, pool and close reasons; each has a file. Whether a connection was used is read from the ids that it carried, not kept twice. The buffers of answers and of requests' bodies grew by two copies of one function; both are core/bytebudget.Buffer now (behaviour unchanged but for one case: a growth that takes nothing of the budget is never refused). core/belief's method and type reportRank no longer share a name. New test: connections end after 1,024 exchanges (2,500 exchanges, three connections).

--- a/core/belief/reports.go
+++ b/core/belief/reports.go
@@ -58,7 +58,7 @@
 	byRank := map[reportRank][]Report{}
 	for key, s := range t.states {
 		if (s.hasEvidence && now.Sub(s.evidenceAt) < maxAge) || len(s.active) > 0 {
-			rank := s.reportRank(now)
+			rank := s.rankOfReport(now)
 			byRank[rank] = append(byRank[rank], s.report(now, key))
 		}
 	}
@@ -78,7 +78,7 @@
 	reportHeard reportRank = "heard"
 )
 
-func (s *state) reportRank(now time.Time) reportRank {
+func (s *state) rankOfReport(now time.Time) reportRank {
 	switch {
 	case s.heard && len(s.active) == 0:
 		return reportHeard
--- a/core/bytebudget/bytebudget_test.go
+++ b/core/bytebudget/bytebudget_test.go
@@ -44,3 +44,21 @@
 		t.Error("returned bytes can't be taken")
 	}
 }
+
+func TestBufferTakesWhatIsNotFree(t *testing.T) {
+	budget := New(100)
+	b := NewBuffer(budget, 30)
+	for _, step := range []struct {
+		size int
+		ok   bool
+		held int64
+	}{{20, true, 0}, {40, true, 10}, {130, true, 100}, {131, false, 100}} {
+		if ok := b.Grow(step.size); ok != step.ok || budget.Held() != step.held {
+			t.Errorf("growth to %d: got %v, %d bytes held, want %v, %d", step.size, ok, budget.Held(), step.ok, step.held)
+		}
+	}
+	b.Release()
+	if budget.Held() != 0 {
+		t.Errorf("after Release %d bytes are held, want 0", budget.Held())
+	}
+}
--- a/io/backend/attribution_test.go
+++ b/io/backend/attribution_test.go
@@ -200,3 +200,19 @@
 		})
 	}
 }
+
+// TestConnectionsEndAfterManyExchanges guards against connections whose IDs take memory without bound.
+func TestConnectionsEndAfterManyExchanges(t *testing.T) {
+	const exchanges, connections = 2500, 3
+	steps := make([]copyserver.Step, exchanges)
+	for n := range steps {
+		steps[n] = copyserver.Step{ID: n, Own: copyserver.Answers, Before: copyserver.NoCopy}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		answered, mistakes, opened := exchangeSteps(byRequestID, steps, 1)
+		reportMistakes(t, mistakes)
+		if slices.Contains(answered, false) || opened != connections {
+			t.Errorf("%d connections for %d exchanges, want %d and all answered", opened, exchanges, connections)
+		}
+	})
+}
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -121,7 +121,7 @@
 		if outcome == shard.SilentConnection {
 			c.Invalidate(address)
 		}
-		if outcome == shard.Broken && sc.reused && !errors.Is(err, errAnonymous) {
+		if outcome == shard.Broken && sc.reused() && !errors.Is(err, errAnonymous) {
 			outcome = shard.StaleConnection
 		}
 		return nil, outcome, fmt.Errorf("backend: %s: %w", address, err)
@@ -145,7 +145,7 @@
 	case errors.Is(ctx.Err(), context.Canceled):
 		return shard.Cancelled
 	case ctx.Err() != nil || isTimeout(err):
-		if sc.reused {
+		if sc.reused() {
 			return shard.SilentConnection
 		}
 		return shard.NoAnswer
--- a/io/backend/body.go
+++ b/io/backend/body.go
@@ -72,25 +72,21 @@
 	b.once.Do(func() { b.onClose(b.source.complete) })
 }
 
-// bodyBuffer holds the begin of a body. It is not safe for concurrent use.
-type bodyBuffer struct {
-	bytes  []byte
-	budget *bytebudget.Budget
-	// taken is the number of bytes that the buffer holds of the budget.
-	taken int64
+// newBodyBuffer returns an empty buffer for the begin of a body.
+func newBodyBuffer(budget *bytebudget.Budget) *bytebudget.Buffer {
+	return bytebudget.NewBuffer(budget, minBufferedBody)
 }
 
-// fill reads until the end of the body, when it returns io.EOF, or until the buffer holds maxBufferedBody
+// fillBuffer reads until the end of the body, when it returns io.EOF, or until the buffer holds maxBufferedBody
 // bytes or may not grow, when it returns nil.
-func (b *bodyBuffer) fill(body io.Reader) error {
-	b.bytes = make([]byte, 0, minBufferedBody)
+func fillBuffer(b *bytebudget.Buffer, body io.Reader) error {
 	for {
-		if len(b.bytes) == cap(b.bytes) && !b.grow() {
+		if len(b.Bytes) == cap(b.Bytes) && !growBuffer(b) {
 			return nil
 		}
-		n, err := body.Read(b.bytes[len(b.bytes):cap(b.bytes)])
-		b.bytes = b.bytes[:len(b.bytes)+n]
-		if err == io.EOF && len(b.bytes) > maxBufferedBody {
+		n, err := body.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
+		b.Bytes = b.Bytes[:len(b.Bytes)+n]
+		if err == io.EOF && len(b.Bytes) > maxBufferedBody {
 			return nil
 		}
 		if err != nil {
@@ -99,23 +95,9 @@
 	}
 }
 
-// grow doubles the capacity, and reports whether it may.
-func (b *bodyBuffer) grow() bool {
+// growBuffer doubles the capacity of a buffer, and reports whether it may.
+func growBuffer(b *bytebudget.Buffer) bool {
 	// One more byte than the limit tells a body of exactly that size from a larger one.
-	size := min(2*cap(b.bytes), maxBufferedBody+1)
-	added := int64(size - cap(b.bytes))
-	if added == 0 || !b.budget.TryTake(added) {
-		return false
-	}
-	b.taken += added
-	larger := make([]byte, len(b.bytes), size)
-	copy(larger, b.bytes)
-	b.bytes = larger
-	return true
-}
-
-// release returns what the buffer holds of the budget.
-func (b *bodyBuffer) release() {
-	b.budget.Return(b.taken)
-	b.taken = 0
+	size := min(max(minBufferedBody, 2*cap(b.Bytes)), maxBufferedBody+1)
+	return size > cap(b.Bytes) && b.Grow(size)
 }
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -29,6 +28,8 @@
 	maxIdleAvoidStale = time.Second
 	// maxIdleConns is the maximum number of idle connections to one server.
 	maxIdleConns = 64
+	// maxExchanges is the maximum number of exchanges of one connection, which bounds the memory for their IDs.
+	maxExchanges = 1024
 	// bufferSize is the size in bytes of each connection's read and write buffers.
 	bufferSize = 8 << 10
 )
@@ -46,8 +47,6 @@
 	idleSince time.Time
 	// generation is the generation of the pool when the connection was dialled.
 	generation uint64
-	// reused reports whether the connection carried an earlier exchange.
-	reused bool
 	// keepAlive is the maximum idle time of the connection, from the Keep-Alive header
 	// of the server's last response.
 	keepAlive time.Duration
@@ -81,132 +80,36 @@
 	return maxIdleTime
 }
 
-// connPool holds the idle connections to one address, the most recently used last. It
-// is safe for concurrent use.
-type connPool struct {
-	mu    sync.Mutex
-	conns []*serverConn
-	// generation is incremented by invalidate. Connections of earlier generations are
-	// not returned to the pool.
-	generation uint64
-	// onClose is called with the reason for each connection that the pool closes.
-	onClose func(CloseReason)
+// begin records the exchange of a request, which the connection must not have carried before.
+func (c *serverConn) begin(id idHash) {
+	c.carried = append(c.carried, id)
 }
 
-// closeConn closes a connection and reports the reason to onClose.
-func (p *connPool) closeConn(c *serverConn, reason CloseReason) {
-	c.Close()
-	p.onClose(reason)
+// reused reports whether the connection has carried an exchange before the current one.
+func (c *serverConn) reused() bool {
+	return len(c.carried) > 1
 }
 
-// CloseReason is the reason for which a connection to a server was closed.
-type CloseReason string
-
-// Reasons for closing connections.
-const (
-	// CloseByServer means that the server asked for the close in its response.
-	CloseByServer CloseReason = "server"
-	// CloseBroken means that an exchange on the connection failed.
-	CloseBroken CloseReason = "broken"
-	// CloseTimeout means that an exchange reached its deadline without a response.
-	CloseTimeout CloseReason = "timeout"
-	// CloseCancelled means that the exchange was cancelled.
-	CloseCancelled CloseReason = "cancelled"
-	// CloseMismatched means that the connection carried a response to another request.
-	CloseMismatched CloseReason = "spoiled"
-	// CloseAnonymous means that the connection carried a response that named no request.
-	CloseAnonymous CloseReason = "anonymous"
-	// CloseUsedUp means that the connection carried maxExchanges exchanges.
-	CloseUsedUp CloseReason = "usedUp"
-	// CloseIdle means that the connection was idle for too long.
-	CloseIdle CloseReason = "idle"
-	// CloseStale means that the server closed the idle connection or wrote to it.
-	CloseStale CloseReason = "stale"
-	// CloseSurplus means that the pool already held maxIdleConns connections.
-	CloseSurplus CloseReason = "surplus"
-	// CloseInvalidated means that Client.Invalidate was called for the address.
-	CloseInvalidated CloseReason = "givenUp"
-)
-
-// take removes and returns the most recently used connection that has not carried the ID and passes the checks
-// for idle time and liveness, or returns nil. It closes the connections that fail the checks. avoided reports whether
-// one was left out because it had carried the ID.
-func (p *connPool) take(now time.Time, limit time.Duration, id idHash) (c *serverConn, avoided bool) {
-	for {
-		c, left := p.pop(id)
-		avoided = avoided || left
-		if c == nil {
-			return nil, avoided
-		}
-		if now.Sub(c.idleSince) > min(limit, c.keepAlive) {
-			p.closeConn(c, CloseIdle)
-			continue
-		}
-		if c.alive() {
-			return c, avoided
-		}
-		p.closeConn(c, CloseStale)
-	}
+// hasCarried reports whether the connection has carried a request with the ID.
+func (c *serverConn) hasCarried(id idHash) bool {
+	return slices.Contains(c.carried, id)
 }
 
-// pop removes and returns the most recently used connection that has not carried the ID, or returns nil. avoided
-// reports whether one that was used later was left out.
-func (p *connPool) pop(id idHash) (c *serverConn, avoided bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i, c := range slices.Backward(p.conns) {
-		if !c.hasCarried(id) {
-			p.conns = slices.Delete(p.conns, i, i+1)
-			return c, avoided
-		}
-		avoided = true
-	}
-	return nil, avoided
+// reusable reports whether the connection may carry a further exchange: each response so far named its request and
+// no other.
+func (c *serverConn) reusable() bool {
+	return !c.mismatched && !c.anonymous && len(c.carried) < maxExchanges
 }
 
-// put returns a connection to the pool. It closes the connection if the pool was
-// invalidated since the dial or is full.
-func (p *connPool) put(now time.Time, c *serverConn) {
-	c.idleSince, c.reused = now, true
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// retireReason returns the reason for closing a connection that is not reusable.
+func (c *serverConn) retireReason() CloseReason {
 	switch {
-	case c.generation != p.generation:
-		p.closeConn(c, CloseInvalidated)
-		return
-	case len(p.conns) >= maxIdleConns:
-		p.closeConn(c, CloseSurplus)
-		return
-	}
-	p.conns = append(p.conns, c)
-}
-
-// invalidate closes all idle connections and prevents those in use from returning to
-// the pool.
-func (p *connPool) invalidate() {
-	p.mu.Lock()
-	conns := p.conns
-	p.conns = nil
-	p.generation++
-	p.mu.Unlock()
-	for _, c := range conns {
-		p.closeConn(c, CloseInvalidated)
-	}
-}
-
-// expire closes connections that were idle for longer than their keepAlive.
-func (p *connPool) expire(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept := p.conns[:0]
-	for _, c := range p.conns {
-		if now.Sub(c.idleSince) > c.keepAlive {
-			p.closeConn(c, CloseIdle)
-			continue
-		}
-		kept = append(kept, c)
+	case c.mismatched:
+		return CloseMismatched
+	case c.anonymous:
+		return CloseAnonymous
 	}
-	p.conns = kept
+	return CloseUsedUp
 }
 
 // alive reports whether an idle connection is open and has no unread data. Unsolicited
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -37,7 +37,7 @@
 			return nil
 		case namesNone:
 			sc.anonymous = true
-			if sc.reused || sc.mismatched {
+			if sc.reused() || sc.mismatched {
 				return errAnonymous
 			}
 			return nil
--- a/io/backend/response.go
+++ b/io/backend/response.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/shard"
 )
 
@@ -38,20 +39,20 @@
 		resp.Header.CopyTo(&withoutTrailers)
 	}
 	source := &bodyReader{src: resp.BodyStream(), remaining: int64(length), hasLength: length >= 0}
-	head := &bodyBuffer{budget: c.buffers}
-	err := head.fill(source)
+	head := newBodyBuffer(c.buffers)
+	err := fillBuffer(head, source)
 	switch {
 	case err == io.EOF:
-		head.release()
+		head.Release()
 		_ = resp.CloseBodyStream()
 		if length == chunkedLength {
 			sc.trailers = trailerNames(&resp.Header)
 			withoutTrailers.CopyTo(&resp.Header)
 		}
-		resp.SetBodyRaw(head.bytes)
+		resp.SetBodyRaw(head.Bytes)
 		return c.finishBuffered(address, sc, resp, stop)
 	case err != nil:
-		head.release()
+		head.Release()
 		stop()
 		outcome := failureOutcome(ctx, sc, err)
 		c.closeConn(sc, closeReason(outcome))
@@ -104,12 +105,12 @@
 
 // stream returns an answer whose body is read from the connection while the caller
 // reads it. head is the part of the body that was already read, rest the remainder.
-func (c *Client) stream(ctx context.Context, address string, sc *serverConn, resp *fasthttp.Response, head *bodyBuffer, rest *bodyReader, stop func() bool) (*Answer, shard.Outcome, error) {
-	body := &streamBody{Reader: io.MultiReader(bytes.NewReader(head.bytes), rest), source: rest}
+func (c *Client) stream(ctx context.Context, address string, sc *serverConn, resp *fasthttp.Response, head *bytebudget.Buffer, rest *bodyReader, stop func() bool) (*Answer, shard.Outcome, error) {
+	body := &streamBody{Reader: io.MultiReader(bytes.NewReader(head.Bytes), rest), source: rest}
 	answer := &Answer{Response: &fasthttp.Response{}, Streamed: true}
 	resp.Header.CopyTo(&answer.Response.Header)
 	body.onClose = func(complete bool) {
-		head.release()
+		head.Release()
 		reusable := stop() && complete && sc.reusable() && !resp.ConnectionClose()
 		outcome := shard.Good
 		switch {
--- a/io/edge/body.go
+++ b/io/edge/body.go
@@ -28,10 +28,12 @@
 
 // requestBody holds the body of a caller's request. It is not safe for concurrent use.
 type requestBody struct {
-	bytes  []byte
-	budget *bytebudget.Budget
-	// taken is the number of bytes that the body holds of the budget.
-	taken int64
+	*bytebudget.Buffer
+}
+
+// newRequestBody returns an empty body.
+func newRequestBody(budget *bytebudget.Budget) requestBody {
+	return requestBody{bytebudget.NewBuffer(budget, freeBodyBytes)}
 }
 
 // read reads a body of the announced length, or of unknown length if that is negative. It returns errBodyBudget if
@@ -42,15 +44,15 @@
 		return errBodyTooLarge
 	}
 	for {
-		if len(b.bytes) == cap(b.bytes) && len(b.bytes) != length && !b.grow(length, limit) {
+		if len(b.Bytes) == cap(b.Bytes) && len(b.Bytes) != length && !b.grow(length, limit) {
 			return errBodyBudget
 		}
-		n, err := r.Read(b.bytes[len(b.bytes):cap(b.bytes)])
-		b.bytes = b.bytes[:len(b.bytes)+n]
+		n, err := r.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
+		b.Bytes = b.Bytes[:len(b.Bytes)+n]
 		switch {
-		case len(b.bytes) > limit:
+		case len(b.Bytes) > limit:
 			return errBodyTooLarge
-		case err == io.EOF && len(b.bytes) < length:
+		case err == io.EOF && len(b.Bytes) < length:
 			// The library takes the end of the connection for that of the body.
 			return io.ErrUnexpectedEOF
 		case err == io.EOF:
@@ -64,25 +66,11 @@
 // grow makes room for more of a body, and reports whether it may.
 func (b *requestBody) grow(length, limit int) bool {
 	// One more byte than the limit tells a body of exactly that size from a larger one.
-	size := min(limit+1, max(freeBodyBytes, 2*cap(b.bytes)))
-	if length >= 0 && (size > length || len(b.bytes) >= trustedBodyBytes) {
+	size := min(limit+1, max(freeBodyBytes, 2*cap(b.Bytes)))
+	if length >= 0 && (size > length || len(b.Bytes) >= trustedBodyBytes) {
 		size = length
 	}
-	added := int64(max(size, freeBodyBytes) - max(cap(b.bytes), freeBodyBytes))
-	if !b.budget.TryTake(added) {
-		return false
-	}
-	b.taken += added
-	larger := make([]byte, len(b.bytes), size)
-	copy(larger, b.bytes)
-	b.bytes = larger
-	return true
-}
-
-// release returns what the body holds of the budget. The request must have ended.
-func (b *requestBody) release() {
-	b.budget.Return(b.taken)
-	b.taken = 0
+	return b.Grow(size)
 }
 
 // receiveBody reads the body of a request, or returns the refusal of the request. A body that is not held is read to
@@ -99,8 +87,8 @@
 	case errors.Is(err, errBodyTooLarge):
 		return refusal.New(refusal.BodyTooLarge, "the limit is %d bytes", maxBodyBytes)
 	case errors.Is(err, errBodyBudget):
-		b.release()
-		b.bytes = nil
+		b.Release()
+		b.Bytes = nil
 		if _, err := io.Copy(io.Discard, io.LimitReader(stream, maxBodyBytes)); err != nil {
 			return refusal.New(refusal.BadRequest, "%v", err)
 		}
--- a/io/edge/body_test.go
+++ b/io/edge/body_test.go
@@ -47,18 +47,18 @@
 				r = io.MultiReader(r, iotest.ErrReader(broken))
 			}
 			budget := bytebudget.New(test.budget)
-			b := &requestBody{budget: budget}
+			b := newRequestBody(budget)
 			if err := b.read(r, test.length, limit); !errors.Is(err, test.err) {
 				t.Fatalf("got error %v, want %v", err, test.err)
 			}
-			if test.err == nil && !bytes.Equal(b.bytes, sent) {
-				t.Errorf("got %d bytes, want the %d that were sent", len(b.bytes), len(sent))
+			if test.err == nil && !bytes.Equal(b.Bytes, sent) {
+				t.Errorf("got %d bytes, want the %d that were sent", len(b.Bytes), len(sent))
 			}
-			if held := budget.Held(); held > test.budget || int64(cap(b.bytes)) > held+freeBodyBytes {
-				t.Errorf("holds %d bytes of the budget for a buffer of %d, the budget has %d", held, cap(b.bytes), test.budget)
+			if held := budget.Held(); held > test.budget || int64(cap(b.Bytes)) > held+freeBodyBytes {
+				t.Errorf("holds %d bytes of the budget for a buffer of %d, the budget has %d", held, cap(b.Bytes), test.budget)
 			}
-			b.release()
-			b.release()
+			b.Release()
+			b.Release()
 			if diff := cmp.Diff(int64(0), budget.Held()); diff != "" {
 				t.Errorf("held after release (-want +got):\n%s", diff)
 			}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -71,8 +71,8 @@
 func (s *callerServer) serve(c *fiber.Ctx) error {
 	e := s.edge
 	// A request whose body is still being read is not in flight: a planned stop does not wait for it.
-	body := requestBody{budget: e.requestBodies}
-	defer body.release()
+	body := newRequestBody(e.requestBodies)
+	defer body.Release()
 	refused := s.receiveBody(c, &body)
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
@@ -85,7 +85,7 @@
 		s.refuse(c, nil, refused)
 		return nil
 	}
-	call, refused := s.parse(c, body.bytes, time.Now())
+	call, refused := s.parse(c, body.Bytes, time.Now())
 	if refused != nil {
 		s.refuse(c, call, refused)
 		return nil
