--- a/io/standin/fleet/chaos_test.go
+++ b/io/standin/fleet/chaos_test.go
@@ -48,6 +48,9 @@
 	{FailFraction: 1, FlapMillis: 300},
 	{UnhealthyProbe: true},
 	{CrashOn: "x", CrashMillis: 300},
+	{RepeatResponses: true},
+	{RepeatResponses: true, FailFraction: 0.5, FlapMillis: 100},
+	{NoAttemptIDs: true},
 }
 
 // injectFaults injects random faults into servers, daemons and the store until the context ends.
