--- a/io/standin/backendserver/server.go
+++ b/io/standin/backendserver/server.go
@@ -314,6 +314,7 @@
 
 // refuseNotRun answers with status 503 and the header that marks the request as not run.
 func refuseNotRun(ctx *fasthttp.RequestCtx, reason string) {
+	ctx.Response.Header.SetBytesV(TestIDHeader, ctx.Request.Header.Peek(TestIDHeader))
 	ctx.Response.Header.Set(backend.NotRunHeader, reason)
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 }
--- a/io/standin/fleet/copies_test.go
+++ b/io/standin/fleet/copies_test.go
@@ -23,7 +23,7 @@
 	return runs
 }
 
-// checkOwnAnswer checks that a response to the order with the given id is the answer to that, or a refusal that is
+// checkOwnAnswer checks that a response to the order with the given id is that of a server to it, or a refusal that is
 // true.
 func checkOwnAnswer(t *testing.T, f *fleet.Fleet, id string, resp *fasthttp.Response) {
 	t.Helper()
@@ -37,9 +37,15 @@
 		}
 		return
 	}
+	if got := string(resp.Header.Peek(backendserver.TestIDHeader)); got != id {
+		t.Errorf("%s: got status %d and the response to %q", id, resp.StatusCode(), got)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return
+	}
 	var got backendserver.Reply
 	if err := json.Unmarshal(resp.Body(), &got); err != nil || got.TestID != id {
-		t.Errorf("%s: got status %d and the answer to %q", id, resp.StatusCode(), got.TestID)
+		t.Errorf("%s: got the answer to %q", id, got.TestID)
 	}
 }
 
--- a/io/standin/gridfleet/holdoff_test.go
+++ b/io/standin/gridfleet/holdoff_test.go
@@ -54,7 +54,7 @@
 		sendBooking(f.Daemons[0])
 		return len(paused.Statements()) > 0
 	})
-	asked, before := paused.Statements()[0].At, paused.Arrivals()
+	asked, before := paused.Statements()[0].At, int(paused.Arrivals())
 	// The other server has four slots, so that the daemon would send some of the requests to this one.
 	servers["booker-2"].SetServiceTime(100 * time.Millisecond)
 	var wg sync.WaitGroup
@@ -68,14 +68,17 @@
 		})
 	}
 	wg.Wait()
-	if n := paused.Arrivals() - before; n != 0 {
-		t.Errorf("the server got %d requests in its pause, want 0", n)
+	for _, a := range paused.ArrivalLog()[before:] {
+		if into := a.At.Sub(asked); into < pause {
+			t.Errorf("the server got %s %v into its pause of %v", a.ID, into, pause)
+		}
 	}
+	before = int(paused.Arrivals())
 	paused.SetPause(0)
 	servers["booker-2"].SetPause(time.Minute)
 	eventually(t, "the server gets requests again", func() bool {
 		sendBooking(f.Daemons[0])
-		return paused.Arrivals() > before
+		return int(paused.Arrivals()) > before
 	})
 }
 
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -100,7 +100,8 @@
 }
 
 // Statement records that the server said in its response to a request that it leaves, or for how long it
-// wants no requests.
+// wants no requests. A pause is recorded with the time before the response was written, so that a daemon which reads it
+// at once does not end it before the server does.
 type Statement struct {
 	ID      string
 	At      time.Time
@@ -303,8 +304,9 @@
 	}
 	s.recordArrival(id)
 	if pause := time.Duration(s.pause.Load()); pause > 0 {
+		at := time.Now()
 		s.refuse(c, id, 503, fmt.Sprintf("Bilberrymux-Not-Executed: 1\r\nRetry-After: %g\r\n", pause.Seconds()), refusals)
-		s.recordStatement(Statement{ID: id, At: time.Now(), Pause: pause})
+		s.recordStatement(Statement{ID: id, At: at, Pause: pause})
 		return true
 	}
 	fault := *s.fault.Load()
