--- a/io/standin/gridfleet/copies_test.go
+++ b/io/standin/gridfleet/copies_test.go
@@ -46,6 +46,8 @@
 				server.SetMisdirectedStatus(status)
 				// A new daemon's budget for further attempts is empty until requests add to it.
 				bookConcurrently(t, f, servers, 160)
+				// The other server is busy, so that most second attempts go to the address of the first.
+				servers["booker-2"].SetServiceTime(100 * time.Millisecond)
 				round := 0
 				eventually(t, "bookings are sent again to the address that refused them", func() bool {
 					// New rows follow, since a row is left out for some time after 421.
