--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -1,11 +1,13 @@
-// Package httphead parses the heads of HTTP/1.1 responses strictly. HTTP libraries tolerate and merge much of what
-// servers write. A decision that must not rest on a doubtful response rests on a Head instead.
+// Package httphead checks and parses the heads of HTTP/1.1 responses strictly. HTTP libraries tolerate and merge much of
+// what servers write. A response whose head does not pass Check is none, and a decision that must not rest on a doubtful
+// response rests on a Head instead.
 package httphead
 
 import (
 	"bytes"
 	"errors"
 	"fmt"
+	"iter"
 	"slices"
 	"strconv"
 	"strings"
@@ -28,9 +30,10 @@
 
 // Markers of the syntax.
 const (
-	protocol = "HTTP/1.1 "
-	lineEnd  = "\r\n"
-	headEnd  = lineEnd + lineEnd
+	protocol    = "HTTP/1.1 "
+	oldProtocol = "HTTP/1.0 "
+	lineEnd     = "\r\n"
+	headEnd     = lineEnd + lineEnd
 	// statusDigits is the number of digits of a status.
 	statusDigits = 3
 )
@@ -45,41 +48,115 @@
 	return i + len(headEnd)
 }
 
-// Parse returns the head in raw, which includes the empty line. It returns an error that wraps ErrMalformed if a
-// line has another form than RFC 9112 demands of senders, for instance one that is folded or ends without CR.
+// Check returns the status in the head of a response, which includes the empty line. It returns an error that wraps
+// ErrMalformed if a line has another form than RFC 9112 demands of senders, for instance one that is folded or ends
+// without CR. It accepts HTTP/1.0, and a status line that ends with the status.
+func Check(raw []byte) (status int, err error) {
+	text, found := strings.CutSuffix(string(raw), headEnd)
+	if !found {
+		return 0, fmt.Errorf("%w: no empty line", ErrMalformed)
+	}
+	status, _, err = checkLines(text)
+	return status, err
+}
+
+// CheckBegin checks the begin of a head that is incomplete, as far as its lines are complete.
+func CheckBegin(begin []byte) error {
+	if i := bytes.LastIndex(begin, []byte(lineEnd)); i >= 0 {
+		if _, _, err := checkLines(string(begin[:i])); err != nil {
+			return err
+		}
+		begin = begin[i+len(lineEnd):]
+	}
+	if bytes.IndexByte(begin, '\n') >= 0 {
+		return fmt.Errorf("%w: line that ends without CR", ErrMalformed)
+	}
+	return nil
+}
+
+// Parse returns the head in raw, which includes the empty line. It returns an error that wraps ErrMalformed if the head
+// does not pass Check, or is one that Check accepts although it is not strictly that of an HTTP/1.1 response.
 func Parse(raw []byte) (*Head, error) {
 	text, found := strings.CutSuffix(string(raw), headEnd)
 	if !found {
 		return nil, fmt.Errorf("%w: no empty line", ErrMalformed)
 	}
-	lines := strings.Split(text, lineEnd)
-	status, err := parseStatusLine(lines[0])
+	status, strict, err := checkLines(text)
 	if err != nil {
 		return nil, err
 	}
-	h := &Head{Status: status, fields: make([]field, 0, len(lines)-1)}
-	for _, line := range lines[1:] {
+	if !strict {
+		return nil, fmt.Errorf("%w: status line %q", ErrMalformed, firstLine(text))
+	}
+	h := &Head{Status: status, fields: make([]field, 0, strings.Count(text, lineEnd))}
+	for line := range fieldLines(text) {
+		name, value, _ := strings.Cut(line, ":")
+		h.fields = append(h.fields, field{name, strings.Trim(value, " \t")})
+	}
+	return h, nil
+}
+
+// checkLines checks the lines of a head, which are separated by CRLF, and returns the status. strict reports whether the
+// status line has the form that HTTP/1.1 demands.
+func checkLines(text string) (status int, strict bool, err error) {
+	status, strict, err = parseStatusLine(firstLine(text))
+	if err != nil {
+		return 0, false, err
+	}
+	for line := range fieldLines(text) {
 		name, value, found := strings.Cut(line, ":")
 		if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
-			return nil, fmt.Errorf("%w: field %q", ErrMalformed, line)
+			return 0, false, fmt.Errorf("%w: field %q", ErrMalformed, shorten(line))
 		}
-		h.fields = append(h.fields, field{name, strings.Trim(value, " \t")})
 	}
-	return h, nil
+	return status, strict, nil
+}
+
+// firstLine returns the first of the lines in a text, which are separated by CRLF.
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, lineEnd)
+	return line
 }
 
-// parseStatusLine returns the status in a line such as "HTTP/1.1 200 OK".
-func parseStatusLine(line string) (int, error) {
-	rest, found := strings.CutPrefix(line, protocol)
+// fieldLines returns the lines in a text after the first one.
+func fieldLines(text string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		_, rest, more := strings.Cut(text, lineEnd)
+		for more {
+			var line string
+			line, rest, more = strings.Cut(rest, lineEnd)
+			if !yield(line) {
+				return
+			}
+		}
+	}
+}
+
+// parseStatusLine returns the status in a line such as "HTTP/1.1 200 OK". strict reports whether the line names HTTP/1.1
+// and has the blank after the status.
+func parseStatusLine(line string) (status int, strict bool, err error) {
+	rest, current := strings.CutPrefix(line, protocol)
+	old := false
+	if !current {
+		rest, old = strings.CutPrefix(line, oldProtocol)
+	}
 	code, _, spaced := strings.Cut(rest, " ")
-	if !found || !spaced || len(code) != statusDigits || !httpguts.ValidHeaderFieldValue(line) {
-		return 0, fmt.Errorf("%w: status line %q", ErrMalformed, line)
+	if !current && !old || len(code) != statusDigits || !isNumber(code) || !httpguts.ValidHeaderFieldValue(line) {
+		return 0, false, fmt.Errorf("%w: status line %q", ErrMalformed, shorten(line))
 	}
-	status, err := strconv.ParseUint(code, 10, 16)
+	status, err = strconv.Atoi(code)
 	if err != nil {
-		return 0, fmt.Errorf("%w: status line %q", ErrMalformed, line)
+		return 0, false, fmt.Errorf("httphead: %w", err)
 	}
-	return int(status), nil
+	return status, current && spaced, nil
+}
+
+// maxQuoted is the maximum number of bytes of a line that an error quotes.
+const maxQuoted = 100
+
+// shorten returns the begin of a line for an error.
+func shorten(line string) string {
+	return line[:min(len(line), maxQuoted)]
 }
 
 // Values returns the values of all fields with a name, which is compared without regard to case.
--- a/core/httphead/httphead_test.go
+++ b/core/httphead/httphead_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bilberrymux/core/httphead"
+	"bilberrymux/internal/headcases"
 )
 
 // TestParse checks which heads are taken for well-formed, and whether the end of the body is marked.
@@ -83,3 +84,58 @@
 		}
 	}
 }
+
+// TestCheck checks that the heads of all malformed cases are found, as soon as their lines show it, and that no other head
+// or begin of one is.
+func TestCheck(t *testing.T) {
+	cases := headcases.Load()
+	for _, c := range cases.Malformed {
+		if err := checkHeads(c.Expand("A: 1\r\n", "body")); !errors.Is(err, httphead.ErrMalformed) {
+			t.Errorf("%s: got error %v, want ErrMalformed", c.Name, err)
+		}
+	}
+	for _, c := range cases.Ordinary {
+		if err := checkHeads(c.Expand("A: 1\r\n", "body")); err != nil {
+			t.Errorf("%s: got error %v", c.Name, err)
+		}
+	}
+}
+
+// checkHeads checks the heads of interim responses in a text, if any, and the one after them, with all their begins.
+func checkHeads(text string) error {
+	for n := range len(text) + 1 {
+		end := httphead.End([]byte(text[:n]))
+		if end == 0 {
+			if err := httphead.CheckBegin([]byte(text[:n])); err != nil {
+				return err
+			}
+			continue
+		}
+		status, err := httphead.Check([]byte(text[:end]))
+		if err != nil || status >= 200 {
+			return err
+		}
+		return checkHeads(text[end:])
+	}
+	return errors.New("no head")
+}
+
+// FuzzCheck checks that Check accepts what Parse does, and CheckBegin all begins of that.
+func FuzzCheck(f *testing.F) {
+	cases := headcases.Load()
+	for _, c := range append(cases.Malformed, cases.Ordinary...) {
+		f.Add([]byte(c.Expand("A: 1\r\n", "body")))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		raw := b[:httphead.End(b)]
+		status, err := httphead.Check(raw)
+		if head, parseErr := httphead.Parse(raw); parseErr == nil && (err != nil || head.Status != status) {
+			t.Fatalf("Check: got status %d, error %v; Parse: got status %d", status, err, head.Status)
+		}
+		for n := range raw {
+			if beginErr := httphead.CheckBegin(raw[:n]); err == nil && beginErr != nil {
+				t.Fatalf("CheckBegin of %q: got error %v", raw[:n], beginErr)
+			}
+		}
+	})
+}
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bilberrymux/core/bytebudget"
+	"bilberrymux/core/httphead"
 	"bilberrymux/core/shard"
 )
 
@@ -116,12 +117,12 @@
 	if err := sc.exchange(req, resp, identity); err != nil {
 		stop()
 		outcome := failureOutcome(ctx, sc, err)
-		c.closeConn(sc, closeReason(outcome))
+		c.closeConn(sc, closeReason(outcome, err))
 		fasthttp.ReleaseResponse(resp)
 		if outcome == shard.SilentConnection {
 			c.Invalidate(address)
 		}
-		if outcome == shard.Broken && sc.reused() && !errors.Is(err, errAnonymous) {
+		if outcome == shard.Broken && sc.reused() && !provesAlive(err) {
 			outcome = shard.StaleConnection
 		}
 		return nil, outcome, fmt.Errorf("backend: %s: %w", address, err)
@@ -153,6 +154,12 @@
 	return shard.Broken
 }
 
+// provesAlive reports whether an exchange failed by what the server wrote in response to it, so that the server had not
+// closed the connection before.
+func provesAlive(err error) bool {
+	return errors.Is(err, errAnonymous) || errors.Is(err, httphead.ErrMalformed)
+}
+
 func isTimeout(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) && ne.Timeout()
@@ -223,16 +230,17 @@
 	c.onClose(reason)
 }
 
-// closeReason returns the reason for closing the connection of a failed exchange.
-func closeReason(outcome shard.Outcome) CloseReason {
-	switch outcome {
-	case shard.Cancelled:
+// closeReason returns the reason for closing the connection of an exchange that failed with an error.
+func closeReason(outcome shard.Outcome, err error) CloseReason {
+	switch {
+	case outcome == shard.Cancelled:
 		return CloseCancelled
-	case shard.NoAnswer, shard.SilentConnection:
+	case outcome == shard.NoAnswer || outcome == shard.SilentConnection:
 		return CloseTimeout
-	default:
-		return CloseBroken
+	case errors.Is(err, httphead.ErrMalformed):
+		return CloseMalformed
 	}
+	return CloseBroken
 }
 
 // OpenConns returns the number of open connections to all servers.
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -1,15 +1,14 @@
 package backend
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 
 	"github.com/valyala/fasthttp"
 
 	"bilberrymux/core/httphead"
+	"bilberrymux/io/httpread"
 )
 
 // exchange writes the request and reads the headers of the response, whose body
@@ -25,7 +24,11 @@
 	for range maxMismatched + 1 {
 		resp.StreamBody = true
 		resp.SkipBody = req.Header.IsHead()
-		sc.head, sc.trailers = peekErrorHead(sc.br), nil
+		head, err := httpread.Next(sc.br)
+		if err != nil {
+			return err
+		}
+		sc.head, sc.trailers = parseError(head), nil
 		if err := resp.ReadLimitBody(sc.br, 0); err != nil {
 			return err
 		}
@@ -81,28 +84,16 @@
 	return nil
 }
 
-// errorClasses are the first digits of the statuses of errors.
-const errorClasses = "45"
-
-// statusAt is the index of the first digit of the status in a response.
-const statusAt = len("HTTP/1.1 ")
-
-// peekErrorHead returns the head of the response that the reader holds next, without consuming it, if that is
-// well-formed and has an error status. Otherwise it returns nil. It waits for the whole head.
-func peekErrorHead(br *bufio.Reader) *httphead.Head {
-	for size := statusAt + 1; ; size = br.Buffered() + 1 {
-		// The error, if any, is found again and handled when the response is read.
-		b, err := br.Peek(size)
-		if err != nil || strings.IndexByte(errorClasses, b[statusAt]) < 0 {
-			return nil
-		}
-		b, _ = br.Peek(br.Buffered())
-		if end := httphead.End(b); end > 0 {
-			head, err := httphead.Parse(b[:end])
-			if err != nil {
-				return nil
-			}
-			return head
-		}
+// parseError returns the head of a response with an error status, or nil if it has another status, is not strictly that
+// of an HTTP/1.1 response, or came after an interim response.
+func parseError(head httpread.Head) *httphead.Head {
+	if head.Status < fasthttp.StatusBadRequest || head.AfterInterim {
+		return nil
+	}
+	parsed, err := httphead.Parse(head.Raw)
+	if err != nil {
+		// The response is an answer, but proves nothing.
+		return nil
 	}
+	return parsed
 }
--- a/io/backend/response.go
+++ b/io/backend/response.go
@@ -55,7 +55,7 @@
 		head.Release()
 		stop()
 		outcome := failureOutcome(ctx, sc, err)
-		c.closeConn(sc, closeReason(outcome))
+		c.closeConn(sc, closeReason(outcome, err))
 		fasthttp.ReleaseResponse(resp)
 		return nil, outcome, fmt.Errorf("backend: %s: %w", address, err)
 	}
@@ -125,7 +125,7 @@
 			sc.keepAlive = keepAliveTime(&resp.Header)
 			c.pool(address).put(time.Now(), sc)
 		} else {
-			c.closeConn(sc, streamCloseReason(outcome, sc))
+			c.closeConn(sc, streamCloseReason(outcome, rest.err, sc))
 		}
 		answer.Finish(outcome)
 	}
@@ -133,12 +133,12 @@
 	return answer, responseOutcome(answer), nil
 }
 
-// streamCloseReason returns the reason for closing a connection after a streamed
-// answer.
-func streamCloseReason(outcome shard.Outcome, sc *serverConn) CloseReason {
+// streamCloseReason returns the reason for closing a connection after a streamed answer, whose body may have ended with
+// an error.
+func streamCloseReason(outcome shard.Outcome, err error, sc *serverConn) CloseReason {
 	switch {
 	case outcome != shard.Good:
-		return closeReason(outcome)
+		return closeReason(outcome, err)
 	case !sc.reusable():
 		return sc.retireReason()
 	}
--- /dev/null
+++ b/io/httpread/httpread.go
@@ -0,0 +1,88 @@
+// Package httpread reads responses of HTTP/1.1 servers. It checks the head of each response before the HTTP library, which
+// tolerates and merges much of what servers write, makes anything of it.
+package httpread
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+
+	"bilberrymux/core/httphead"
+)
+
+// Head is the head of a final response, which passed httphead.Check.
+type Head struct {
+	Status int
+	// Raw is the text of the head, including its empty line. It is valid until the reader is used again.
+	Raw []byte
+	// AfterInterim reports whether interim responses came before the final one.
+	AfterInterim bool
+}
+
+// maxInterim is the maximum number of interim responses before a final one.
+const maxInterim = 100
+
+// errTooManyInterim is returned if more than maxInterim interim responses come.
+var errTooManyInterim = errors.New("httpread: too many interim responses")
+
+// Next returns the head of the next final response, and waits until it is complete. It consumes the interim responses
+// before that, but not the final one. The error wraps httphead.ErrMalformed if a head is malformed or longer than the
+// buffer of the reader, and is io.EOF if there is no further response. After an error nothing more can be read.
+func Next(br *bufio.Reader) (Head, error) {
+	for n := range maxInterim + 1 {
+		raw, status, err := peekHead(br)
+		if err != nil {
+			return Head{}, err
+		}
+		if !isInterim(status) {
+			return Head{Status: status, Raw: raw, AfterInterim: n > 0}, nil
+		}
+		if _, err := br.Discard(len(raw)); err != nil {
+			return Head{}, fmt.Errorf("httpread: %w", err)
+		}
+	}
+	return Head{}, errTooManyInterim
+}
+
+// isInterim reports whether a response with the status is followed by another one to the same request.
+func isInterim(status int) bool {
+	return status >= 100 && status < 200 && status != statusSwitchingProtocols
+}
+
+// statusSwitchingProtocols is the status of the last response before the connection changes its protocol.
+const statusSwitchingProtocols = 101
+
+// peekHead returns the head that the reader holds next, without consuming it. A malformed one is an error as soon as a
+// line shows it.
+func peekHead(br *bufio.Reader) (raw []byte, status int, err error) {
+	for size := 1; ; size = br.Buffered() + 1 {
+		if _, err := br.Peek(size); err != nil {
+			return nil, 0, headError(br, err)
+		}
+		raw, err := br.Peek(br.Buffered())
+		if err != nil {
+			return nil, 0, fmt.Errorf("httpread: %w", err)
+		}
+		if end := httphead.End(raw); end > 0 {
+			status, err := httphead.Check(raw[:end])
+			return raw[:end], status, err
+		}
+		if err := httphead.CheckBegin(raw); err != nil {
+			return nil, 0, err
+		}
+	}
+}
+
+// headError returns the error for a head that could not be read to its end.
+func headError(br *bufio.Reader, err error) error {
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return fmt.Errorf("%w: more than %d bytes", httphead.ErrMalformed, br.Size())
+	case !errors.Is(err, io.EOF):
+		return fmt.Errorf("httpread: %w", err)
+	case br.Buffered() > 0:
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/io/httpread/httpread_test.go
@@ -0,0 +1,71 @@
+package httpread_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"bilberrymux/core/httphead"
+	"bilberrymux/internal/headcases"
+	"bilberrymux/io/httpread"
+)
+
+// TestNext checks the heads of all cases, which arrive whole or byte by byte.
+func TestNext(t *testing.T) {
+	cases := headcases.Load()
+	for _, c := range cases.Malformed {
+		for name, r := range readers(c) {
+			if head, err := httpread.Next(r); !errors.Is(err, httphead.ErrMalformed) {
+				t.Errorf("%s, %s: got %+v, error %v; want ErrMalformed", c.Name, name, head, err)
+			}
+		}
+	}
+	for _, c := range cases.Ordinary {
+		for name, r := range readers(c) {
+			head, err := httpread.Next(r)
+			if err != nil || head.Status < 200 || head.Status > 299 || head.AfterInterim != strings.Contains(c.Name, "nterim") {
+				t.Errorf("%s, %s: got %+v, error %v", c.Name, name, head, err)
+				continue
+			}
+			raw := string(head.Raw)
+			rest, err := io.ReadAll(r)
+			if err != nil || !strings.HasPrefix(string(rest), raw) {
+				t.Errorf("%s, %s: %q is left to read, want the final response", c.Name, name, rest)
+			}
+		}
+	}
+}
+
+// readers returns readers of a case.
+func readers(c headcases.Case) map[string]*bufio.Reader {
+	text := c.Expand("A: 1\r\n", "body")
+	return map[string]*bufio.Reader{
+		"whole":        bufio.NewReader(strings.NewReader(text)),
+		"byte by byte": bufio.NewReader(iotest.OneByteReader(strings.NewReader(text))),
+	}
+}
+
+// TestNextEndsEarly checks the errors for responses whose head does not end.
+func TestNextEndsEarly(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nA: 1\r\n"
+	for _, test := range []struct {
+		text string
+		want error
+	}{
+		{"", io.EOF},
+		{"HTTP", io.ErrUnexpectedEOF},
+		{head, io.ErrUnexpectedEOF},
+		{"HTTP/1.1 100 Continue\r\n\r\n", io.EOF},
+		{"HTTP/1.1 200 OK\r\n" + strings.Repeat("A: 1\r\n", 1000), httphead.ErrMalformed},
+	} {
+		if _, err := httpread.Next(bufio.NewReader(strings.NewReader(test.text))); !errors.Is(err, test.want) {
+			t.Errorf("%.60q: got error %v, want %v", test.text, err, test.want)
+		}
+	}
+	if _, err := httpread.Next(bufio.NewReader(strings.NewReader(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 102)))); err == nil {
+		t.Error("got no error after 102 interim responses")
+	}
+}
--- a/io/soak/faults.go
+++ b/io/soak/faults.go
@@ -53,6 +53,9 @@
 	{"server contradicts itself", func(tb *testbed, r *rand.Rand, d time.Duration) error {
 		return failServer(tb, r, d, gridserver.ContradictoryRefusals())
 	}},
+	{"malformed heads", func(tb *testbed, r *rand.Rand, d time.Duration) error {
+		return failServer(tb, r, d, gridserver.MalformedHeads())
+	}},
 }
 
 // FaultNames returns the names of all kinds of faults.
--- a/io/standin/backendserver/faults.go
+++ b/io/standin/backendserver/faults.go
@@ -39,6 +39,9 @@
 	RepeatResponses bool `json:"repeatAnswers,omitempty"`
 	// NoAttemptIDs leaves out of the responses the ID of the attempt that they answer.
 	NoAttemptIDs bool `json:"noAttemptIds,omitempty"`
+	// HeadCase is the name of a response of internal/headcases, which is written in place of each successful response,
+	// also of those to health checks. The connection ends after it.
+	HeadCase string `json:"headCase,omitempty"`
 	// ReportedLoad overrides the load in health reports, in requests in flight.
 	ReportedLoad *int `json:"reportLoad,omitempty"`
 }
--- a/io/standin/backendserver/server.go
+++ b/io/standin/backendserver/server.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/internal/headcases"
 	"bilberrymux/io/backend"
 )
 
@@ -244,6 +246,26 @@
 	default:
 		s.handleWork(ctx)
 	}
+	if path := string(ctx.Path()); f.HeadCase != "" && path != PathFaults && path != PathRuns && ctx.Response.StatusCode() == fasthttp.StatusOK {
+		writeHeadCase(ctx, f.HeadCase)
+	}
+}
+
+// writeHeadCase writes a response of internal/headcases with the body and the IDs of the current response, and closes the
+// connection.
+func writeHeadCase(ctx *fasthttp.RequestCtx, name string) {
+	c, ok := headcases.Find(name)
+	if !ok {
+		ctx.Error("no such head", fasthttp.StatusInternalServerError)
+		return
+	}
+	fields := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", backend.AttemptIDHeader, ctx.Request.Header.Peek(backend.AttemptIDHeader),
+		TestIDHeader, ctx.Request.Header.Peek(TestIDHeader))
+	text := c.Expand(fields, string(ctx.Response.Body()))
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) {
+		_, _ = io.WriteString(conn, text) // a client that has left needs no response
+	})
 }
 
 func (s *Server) handleFaults(ctx *fasthttp.RequestCtx) {
--- /dev/null
+++ b/io/standin/fleet/heads_test.go
@@ -0,0 +1,55 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"bilberrymux/core/refusal"
+	"bilberrymux/internal/headcases"
+	"bilberrymux/io/front"
+	"bilberrymux/io/standin/backendserver"
+	"bilberrymux/io/standin/fleet"
+)
+
+func setHeadCase(f *fleet.Fleet, name string) {
+	for _, s := range f.Servers["orders"] {
+		s.SetFaults(backendserver.Faults{HeadCase: name})
+	}
+}
+
+func sendOrder(t *testing.T, f *fleet.Fleet, id string) *fasthttp.Response {
+	t.Helper()
+	return send(t, f.Entries()[0], call{"POST", "/orders", "an order", map[string]string{backendserver.TestIDHeader: id}})
+}
+
+// TestMalformedHeadsReachNoCaller guards against answers whose head a lenient parser accepts. They are failures of the
+// server, which may have run the order.
+func TestMalformedHeadsReachNoCaller(t *testing.T) {
+	for _, c := range headcases.Load().Malformed {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, options(1))
+			setHeadCase(f, c.Name)
+			const id = "an-order"
+			resp := sendOrder(t, f, id)
+			if len(resp.Header.Peek(front.RefusalHeader)) == 0 || len(resp.Header.Peek(backendserver.TestIDHeader)) > 0 {
+				t.Fatalf("the response reached the caller:\n%s", resp)
+			}
+			if r := decodeRefusal(t, resp); r.Kind != refusal.ServerFailed || r.Outcome != refusal.Unknown || runsOf(f, id) != 1 {
+				t.Errorf("got %+v after %d runs, want a failed server with unknown outcome after one run", r, runsOf(f, id))
+			}
+		})
+	}
+}
+
+// TestUnusualHeadsReachCallers checks that responses which are well-formed are passed on.
+func TestUnusualHeadsReachCallers(t *testing.T) {
+	f := start(t, options(1))
+	for _, c := range headcases.Load().Ordinary {
+		t.Run(c.Name, func(t *testing.T) {
+			setHeadCase(f, c.Name)
+			checkOwnAnswer(t, f, c.Name, sendOrder(t, f, c.Name))
+		})
+	}
+}
--- /dev/null
+++ b/io/standin/gridserver/heads.go
@@ -0,0 +1,45 @@
+package gridserver
+
+import (
+	"io"
+	"net"
+	"strings"
+
+	"bilberrymux/internal/headcases"
+)
+
+// headFault is the prefix of the faults with which the server runs the request and then writes a response of
+// internal/headcases, whose name follows.
+const headFault = "head/"
+
+// MalformedHeads returns the faults with which the server answers with a malformed head.
+func MalformedHeads() []Fault {
+	return headFaults(headcases.Load().Malformed)
+}
+
+// OrdinaryHeads returns the faults with which the server answers with a head that is unusual but well-formed.
+func OrdinaryHeads() []Fault {
+	return headFaults(headcases.Load().Ordinary)
+}
+
+func headFaults(cases []headcases.Case) []Fault {
+	var out []Fault
+	for _, c := range cases {
+		out = append(out, Fault(headFault+c.Name))
+	}
+	return out
+}
+
+// writeHeadCase writes the response of a fault, if that is one of MalformedHeads or OrdinaryHeads, after which the
+// connection ends.
+func writeHeadCase(conn net.Conn, fields, body string, fault Fault) (written bool) {
+	name, ok := strings.CutPrefix(string(fault), headFault)
+	if !ok {
+		return false
+	}
+	c, ok := headcases.Find(name)
+	if ok {
+		_, _ = io.WriteString(conn, c.Expand(fields, body)) // a client that has left needs no response
+	}
+	return ok
+}
