--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -36,6 +36,9 @@
 	headEnd     = lineEnd + lineEnd
 	// statusDigits is the number of digits of a status.
 	statusDigits = 3
+	// minStatus and maxStatus are the limits of the statuses that RFC 9110 defines classes for.
+	minStatus = 100
+	maxStatus = 599
 )
 
 // End returns the length in bytes of the head that b begins with, including its empty line, or 0 if the head is
@@ -49,8 +52,8 @@
 }
 
 // Check returns the status in the head of a response, which includes the empty line. It returns an error that wraps
-// ErrMalformed if a line has another form than RFC 9112 demands of senders, for instance one that is folded or ends
-// without CR. It accepts HTTP/1.0, and a status line that ends with the status.
+// ErrMalformed if the status is in none of the classes of RFC 9110, or a line has another form than RFC 9112 demands of
+// senders, for instance one that is folded or ends without CR. It accepts HTTP/1.0, and a status line that ends with the status.
 func Check(raw []byte) (status int, err error) {
 	text, found := strings.CutSuffix(string(raw), headEnd)
 	if !found {
@@ -145,8 +148,8 @@
 		return 0, false, fmt.Errorf("%w: status line %q", ErrMalformed, shorten(line))
 	}
 	status, err = strconv.Atoi(code)
-	if err != nil {
-		return 0, false, fmt.Errorf("httphead: %w", err)
+	if err != nil || status < minStatus || status > maxStatus {
+		return 0, false, fmt.Errorf("%w: status line %q", ErrMalformed, shorten(line))
 	}
 	return status, current && spaced, nil
 }
