--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -39,6 +39,9 @@
 	// minStatus and maxStatus are the limits of the statuses that RFC 9110 defines classes for.
 	minStatus = 100
 	maxStatus = 599
+	// statusSwitchingProtocols is the status before a connection changes its protocol, for which no request of a
+	// daemon asks.
+	statusSwitchingProtocols = 101
 	// blanks may stand around the value of a field.
 	blanks = " \t"
 )
@@ -65,7 +68,8 @@
 // Check returns the status in the head of a response, which includes the empty line. It returns an error that wraps
 // ErrMalformed if the status is in none of the classes of RFC 9110, or a line has another form than RFC 9112 demands of
 // senders, for instance one that is folded or ends without CR, or if it marks the end of the body twice or in a way that
-// is not known. It accepts HTTP/1.0, and a status line that ends with the status.
+// is not known. It accepts HTTP/1.0, and a status line that ends with the status. Since daemons never ask for another
+// protocol, the status 101 is malformed.
 func Check(raw []byte) (status int, err error) {
 	text, found := strings.CutSuffix(string(raw), headEnd)
 	if !found {
@@ -194,7 +198,7 @@
 	}
 	var err error
 	s.status, err = strconv.Atoi(code)
-	if err != nil || s.status < minStatus || s.status > maxStatus {
+	if err != nil || s.status < minStatus || s.status > maxStatus || s.status == statusSwitchingProtocols {
 		return s, fmt.Errorf("%w: status line %q", ErrMalformed, shorten(line))
 	}
 	return s, nil
--- a/io/httpread/httpread.go
+++ b/io/httpread/httpread.go
@@ -23,6 +23,9 @@
 // maxInterim is the maximum number of interim responses before a final one.
 const maxInterim = 100
 
+// firstFinalStatus is the lowest status of responses that no other one to the same request follows.
+const firstFinalStatus = 200
+
 // errTooManyInterim is returned if more than maxInterim interim responses come.
 var errTooManyInterim = errors.New("httpread: too many interim responses")
 
@@ -35,7 +38,7 @@
 		if err != nil {
 			return Head{}, err
 		}
-		if !isInterim(status) {
+		if status >= firstFinalStatus {
 			return Head{Status: status, Raw: raw, AfterInterim: n > 0}, nil
 		}
 		if _, err := br.Discard(len(raw)); err != nil {
@@ -45,14 +48,6 @@
 	return Head{}, errTooManyInterim
 }
 
-// isInterim reports whether a response with the status is followed by another one to the same request.
-func isInterim(status int) bool {
-	return status >= 100 && status < 200 && status != statusSwitchingProtocols
-}
-
-// statusSwitchingProtocols is the status of the last response before the connection changes its protocol.
-const statusSwitchingProtocols = 101
-
 // peekHead returns the head that the reader holds next, without consuming it. A malformed one is an error as soon as a
 // line shows it.
 func peekHead(br *bufio.Reader) (raw []byte, status int, err error) {
