--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -87,8 +87,16 @@
 
 // CheckBegin checks the begin of a head that is incomplete, as far as its lines are complete.
 func CheckBegin(begin []byte) error {
+	return checkBegin(begin, func(text string) error {
+		_, _, err := checkLines(text)
+		return err
+	})
+}
+
+// checkBegin applies a check to the complete lines that a text begins with, if there are any.
+func checkBegin(begin []byte, check func(lines string) error) error {
 	if i := bytes.LastIndex(begin, []byte(lineEnd)); i >= 0 {
-		if _, _, err := checkLines(string(begin[:i])); err != nil {
+		if err := check(string(begin[:i])); err != nil {
 			return err
 		}
 		begin = begin[i+len(lineEnd):]
@@ -107,7 +115,7 @@
 	if !found {
 		return nil, fmt.Errorf("%w: no empty line", ErrMalformed)
 	}
-	status, _, err := checkLines(text)
+	status, err := parseStatusLine(firstLine(text))
 	if err != nil {
 		return nil, err
 	}
@@ -116,8 +124,11 @@
 	}
 	h := &Head{Status: status.status, fields: make([]field, 0, strings.Count(text, lineEnd))}
 	for line := range fieldLines(text) {
-		name, value, _ := strings.Cut(line, ":")
-		h.fields = append(h.fields, field{name, strings.Trim(value, blanks)})
+		f, err := parseField(line)
+		if err != nil {
+			return nil, err
+		}
+		h.fields = append(h.fields, f)
 	}
 	return h, nil
 }
@@ -144,24 +155,33 @@
 		return status, ends, err
 	}
 	for line := range fieldLines(text) {
-		name, value, found := strings.Cut(line, ":")
-		if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
-			return status, ends, fmt.Errorf("%w: field %q", ErrMalformed, shorten(line))
+		f, err := parseField(line)
+		if err != nil {
+			return status, ends, err
 		}
-		ends.add(name, strings.Trim(value, blanks))
+		ends.add(f)
 	}
 	return status, ends, nil
 }
 
+// parseField returns the field in a line.
+func parseField(line string) (field, error) {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return field{}, fmt.Errorf("%w: field %q", ErrMalformed, shorten(line))
+	}
+	return field{name, strings.Trim(value, blanks)}, nil
+}
+
 // add counts a field if it marks the end of the body.
-func (e *bodyEnds) add(name, value string) {
+func (e *bodyEnds) add(f field) {
 	switch {
-	case strings.EqualFold(name, contentLength):
+	case strings.EqualFold(f.name, contentLength):
 		e.lengths++
-		e.unknown = e.unknown || !isLength(value)
-	case strings.EqualFold(name, transferEncoding):
+		e.unknown = e.unknown || !isLength(f.value)
+	case strings.EqualFold(f.name, transferEncoding):
 		e.codings++
-		e.unknown = e.unknown || !strings.EqualFold(value, chunked)
+		e.unknown = e.unknown || !strings.EqualFold(f.value, chunked)
 	}
 }
 
--- a/internal/headcases/headcases.go
+++ b/internal/headcases/headcases.go
@@ -1,4 +1,4 @@
-// Package headcases holds responses of HTTP/1.1 servers whose heads are malformed, and unusual ones that are
+// Package headcases holds responses of HTTP/1.1 servers whose heads or trailers are malformed, and unusual ones that are
 // well-formed, for the tests of everything that reads responses.
 package headcases
 
@@ -25,6 +25,8 @@
 type Cases struct {
 	// Malformed responses are none: the exchange has failed, and the server may have run the request.
 	Malformed []Case `json:"malformed"`
+	// MalformedTrailers are responses of which all but the trailers is well-formed. They are no complete answers.
+	MalformedTrailers []Case `json:"malformedTrailers"`
 	// Ordinary responses are successes whose body must arrive whole.
 	Ordinary []Case `json:"ordinary"`
 }
@@ -44,7 +46,7 @@
 // Find returns the case with a name, and whether there is one.
 func Find(name string) (c Case, ok bool) {
 	cases := Load()
-	all := append(cases.Malformed, cases.Ordinary...)
+	all := slices.Concat(cases.Malformed, cases.MalformedTrailers, cases.Ordinary)
 	i := slices.IndexFunc(all, func(c Case) bool { return c.Name == name })
 	if i < 0 {
 		return Case{}, false
--- a/internal/headcases/headcases_test.go
+++ b/internal/headcases/headcases_test.go
@@ -1,6 +1,7 @@
 package headcases_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -12,13 +13,13 @@
 func TestCases(t *testing.T) {
 	cases := headcases.Load()
 	seen := map[string]bool{}
-	for _, c := range append(cases.Malformed, cases.Ordinary...) {
+	for _, c := range slices.Concat(cases.Malformed, cases.MalformedTrailers, cases.Ordinary) {
 		if c.Name == "" || c.Text == "" || seen[c.Name] {
 			t.Errorf("case without a name of its own, or without a text: %+v", c)
 		}
 		seen[c.Name] = true
 	}
-	if len(cases.Malformed) == 0 || len(cases.Ordinary) == 0 {
+	if len(cases.Malformed) == 0 || len(cases.MalformedTrailers) == 0 || len(cases.Ordinary) == 0 {
 		t.Error("there are no cases")
 	}
 }
--- a/io/backend/closereason.go
+++ b/io/backend/closereason.go
@@ -9,7 +9,7 @@
 	CloseByServer CloseReason = "server"
 	// CloseBroken means that an exchange on the connection failed.
 	CloseBroken CloseReason = "broken"
-	// CloseMalformed means that a response had a malformed head.
+	// CloseMalformed means that a response had a malformed head or malformed trailers.
 	CloseMalformed CloseReason = "malformed"
 	// CloseTimeout means that an exchange reached its deadline without a response.
 	CloseTimeout CloseReason = "timeout"
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -22,14 +22,13 @@
 		return err
 	}
 	for range maxMismatched + 1 {
-		resp.StreamBody = true
 		resp.SkipBody = req.Header.IsHead()
 		head, err := httpread.Next(sc.br)
 		if err != nil {
 			return err
 		}
 		sc.head, sc.trailers = parseError(head), nil
-		if err := resp.ReadLimitBody(sc.br, 0); err != nil {
+		if err := httpread.ReadStream(sc.br, resp); err != nil {
 			return err
 		}
 		switch identity.relate(&resp.Header) {
--- a/io/backend/heads_test.go
+++ b/io/backend/heads_test.go
@@ -89,6 +89,32 @@
 	}
 }
 
+// TestMalformedTrailersAreNoEnd guards against a response that is complete but for trailers which a lenient parser accepts.
+// A body that is streamed breaks off there.
+func TestMalformedTrailersAreNoEnd(t *testing.T) {
+	want := map[string]exchange{
+		"buffered": {Outcome: shard.Broken},
+		"streamed": {Outcome: shard.Broken, Body: strings.ReplaceAll(bodiesOfHeadCases["streamed"], strings.Repeat("x", 1000), "k"), BodyError: true},
+	}
+	for size, body := range bodiesOfHeadCases {
+		for _, c := range headcases.Load().MalformedTrailers {
+			t.Run(size+"/"+c.Name, func(t *testing.T) {
+				var reasons []backend.CloseReason
+				client := newClient(func(reason backend.CloseReason) { reasons = append(reasons, reason) })
+				var got exchange
+				doExchange(client, startHeadServer(t, c, body, 0), &got)
+				if diff := cmp.Diff(want[size], got); diff != "" {
+					t.Errorf("exchange (-want +got):\n%s", diff)
+				}
+				client.Expire(time.Now().Add(time.Hour))
+				if diff := cmp.Diff([]backend.CloseReason{backend.CloseMalformed}, reasons); diff != "" {
+					t.Errorf("closed connections (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
 // TestUnusualHeadIsAnAnswer checks that responses which are well-formed arrive whole.
 func TestUnusualHeadIsAnAnswer(t *testing.T) {
 	for size, body := range bodiesOfHeadCases {
--- a/io/backend/response.go
+++ b/io/backend/response.go
@@ -12,6 +12,7 @@
 
 	"bilberrymux/core/bytebudget"
 	"bilberrymux/core/shard"
+	"bilberrymux/io/httpread"
 )
 
 // maxBufferedBody is the size in bytes up to which a response body is buffered before
@@ -33,9 +34,9 @@
 		return c.finishBuffered(address, sc, resp, stop)
 	}
 	length := resp.Header.ContentLength()
-	// The library adds the trailers to the header when it reads the end of the body.
+	// The stream adds the trailers to the header when it reads the end of the body.
 	var withoutTrailers fasthttp.ResponseHeader
-	if length == chunkedLength {
+	if length == httpread.ChunkedLength {
 		resp.Header.CopyTo(&withoutTrailers)
 	}
 	source := &bodyReader{src: resp.BodyStream(), remaining: int64(length), hasLength: length >= 0}
@@ -45,7 +46,7 @@
 	case err == io.EOF:
 		head.Release()
 		_ = resp.CloseBodyStream()
-		if length == chunkedLength {
+		if length == httpread.ChunkedLength {
 			sc.trailers = trailerNames(&resp.Header)
 			withoutTrailers.CopyTo(&resp.Header)
 		}
@@ -91,9 +92,6 @@
 	return answer
 }
 
-// chunkedLength stands in place of the length of a response that comes in chunks.
-const chunkedLength = -1
-
 // trailerNames returns the names of the trailers that a response announced or had.
 func trailerNames(h *fasthttp.ResponseHeader) []string {
 	var names []string
--- a/io/daemon/probe_test.go
+++ b/io/daemon/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,7 +21,8 @@
 // TestMalformedHeadIsUnhealthy guards against a server that counts as healthy by a response that is none, on a new
 // connection and on one that was used before.
 func TestMalformedHeadIsUnhealthy(t *testing.T) {
-	for _, c := range headcases.Load().Malformed {
+	cases := headcases.Load()
+	for _, c := range slices.Concat(cases.Malformed, cases.MalformedTrailers) {
 		s := backendserver.New(backendserver.Options{Name: "server", Slots: 1})
 		if err := s.Listen("127.0.0.1:0"); err != nil {
 			t.Fatal(err)
--- a/io/httpread/httpread.go
+++ b/io/httpread/httpread.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
 
 	"bilberrymux/core/httphead"
 )
@@ -34,7 +33,11 @@
 // buffer of the reader, and is io.EOF if there is no further response. After an error nothing more can be read.
 func Next(br *bufio.Reader) (Head, error) {
 	for n := range maxInterim + 1 {
-		raw, status, err := peekHead(br)
+		raw, err := heads.peek(br)
+		if err != nil {
+			return Head{}, err
+		}
+		status, err := httphead.Check(raw)
 		if err != nil {
 			return Head{}, err
 		}
@@ -47,37 +50,3 @@
 	}
 	return Head{}, errTooManyInterim
 }
-
-// peekHead returns the head that the reader holds next, without consuming it. A malformed one is an error as soon as a
-// line shows it.
-func peekHead(br *bufio.Reader) (raw []byte, status int, err error) {
-	for size := 1; ; size = br.Buffered() + 1 {
-		if _, err := br.Peek(size); err != nil {
-			return nil, 0, headError(br, err)
-		}
-		raw, err := br.Peek(br.Buffered())
-		if err != nil {
-			return nil, 0, fmt.Errorf("httpread: %w", err)
-		}
-		if end := httphead.End(raw); end > 0 {
-			status, err := httphead.Check(raw[:end])
-			return raw[:end], status, err
-		}
-		if err := httphead.CheckBegin(raw); err != nil {
-			return nil, 0, err
-		}
-	}
-}
-
-// headError returns the error for a head that could not be read to its end.
-func headError(br *bufio.Reader, err error) error {
-	switch {
-	case errors.Is(err, bufio.ErrBufferFull):
-		return fmt.Errorf("%w: more than %d bytes", httphead.ErrMalformed, br.Size())
-	case !errors.Is(err, io.EOF):
-		return fmt.Errorf("httpread: %w", err)
-	case br.Buffered() > 0:
-		return io.ErrUnexpectedEOF
-	}
-	return io.EOF
-}
--- a/io/httpread/httpread_test.go
+++ b/io/httpread/httpread_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/iotest"
 
+	"github.com/valyala/fasthttp"
+
 	"bilberrymux/core/httphead"
 	"bilberrymux/internal/headcases"
 	"bilberrymux/io/httpread"
@@ -69,3 +71,45 @@
 		t.Error("got no error after 102 interim responses")
 	}
 }
+
+// TestReadStream checks the bodies of all cases, which arrive whole or byte by byte.
+func TestReadStream(t *testing.T) {
+	cases := headcases.Load()
+	for _, c := range cases.MalformedTrailers {
+		for name, r := range readers(c) {
+			if body, err := readStream(r); !errors.Is(err, httphead.ErrMalformed) {
+				t.Errorf("%s, %s: got body %q, error %v; want ErrMalformed", c.Name, name, body, err)
+			}
+		}
+	}
+	for _, c := range cases.Ordinary {
+		for name, r := range readers(c) {
+			if body, err := readStream(r); err != nil || body != "body" || r.Buffered() > 0 {
+				t.Errorf("%s, %s: got body %q, error %v, and %d more bytes", c.Name, name, body, err, r.Buffered())
+			}
+		}
+	}
+}
+
+// readStream reads a response and returns its body.
+func readStream(r *bufio.Reader) (string, error) {
+	if _, err := httpread.Next(r); err != nil {
+		return "", err
+	}
+	var resp fasthttp.Response
+	if err := httpread.ReadStream(r, &resp); err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp.BodyStream())
+	return string(body), err
+}
+
+// TestReadStreamEndsEarly checks that a body in chunks which breaks off is no complete one.
+func TestReadStreamEndsEarly(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: 1\r\n\r\n"
+	for n := strings.Index(whole, "4\r\n"); n < len(whole); n++ {
+		if body, err := readStream(bufio.NewReader(strings.NewReader(whole[:n]))); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%q: got body %q, error %v; want io.ErrUnexpectedEOF", whole[:n], body, err)
+		}
+	}
+}
--- a/io/standin/fleet/heads_test.go
+++ b/io/standin/fleet/heads_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -26,7 +27,8 @@
 // TestMalformedHeadsReachNoCaller guards against answers whose head a lenient parser accepts. They are failures of the
 // server, which may have run the order.
 func TestMalformedHeadsReachNoCaller(t *testing.T) {
-	for _, c := range headcases.Load().Malformed {
+	cases := headcases.Load()
+	for _, c := range slices.Concat(cases.Malformed, cases.MalformedTrailers) {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			f := start(t, options(1))
--- a/io/standin/gridserver/heads.go
+++ b/io/standin/gridserver/heads.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"strings"
 
 	"bilberrymux/internal/headcases"
@@ -12,9 +13,10 @@
 // internal/headcases, whose name follows.
 const headFault = "head/"
 
-// MalformedHeads returns the faults with which the server answers with a malformed head.
+// MalformedHeads returns the faults with which the server answers with a malformed head or malformed trailers.
 func MalformedHeads() []Fault {
-	return headFaults(headcases.Load().Malformed)
+	cases := headcases.Load()
+	return headFaults(slices.Concat(cases.Malformed, cases.MalformedTrailers))
 }
 
 // OrdinaryHeads returns the faults with which the server answers with a head that is unusual but well-formed.
