--- a/io/httpread/transport.go
+++ b/io/httpread/transport.go
@@ -15,6 +15,12 @@
 // further attempt: a request whose response was malformed or lost may have taken effect. It is safe for concurrent use.
 type Transport struct{}
 
+// Configure makes a host client of a fasthttp.Client use a Transport. It is a value for ConfigureClient, and returns nil.
+func Configure(hc *fasthttp.HostClient) error {
+	hc.Transport = Transport{}
+	return nil
+}
+
 // RoundTrip implements fasthttp.RoundTripper. The body of the response is read whole. A connection that failed is closed.
 func (Transport) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
 	timeout := req.GetTimeOut()
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bilberrymux/core/store"
+	"bilberrymux/io/httpread"
 )
 
 // URL paths of the protocol. The name of an object is appended to PathObjects.
@@ -89,6 +90,7 @@
 			// be repeated without the caller's knowledge.
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			ConfigureClient:           httpread.Configure,
 			Dial: func(a string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 				defer cancel()
