--- a/io/httpread/httpread_test.go
+++ b/io/httpread/httpread_test.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// TestReadStreamOfLongTrailers checks that trailers which don't fit into the buffer are malformed.
+func TestReadStreamOfLongTrailers(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + strings.Repeat("A: 1\r\n", 1000)
+	if body, err := readStream(bufio.NewReader(strings.NewReader(text))); !errors.Is(err, httphead.ErrMalformed) {
+		t.Errorf("got body %q, error %v; want ErrMalformed", body, err)
+	}
+}
+
 // readStream reads a response and returns its body.
 func readStream(r *bufio.Reader) (string, error) {
 	if _, err := httpread.Next(r); err != nil {
--- a/io/httpread/transport.go
+++ b/io/httpread/transport.go
@@ -60,11 +60,11 @@
 	br := hc.AcquireReader(conn)
 	defer hc.ReleaseReader(br)
 	resp.SkipBody = resp.SkipBody || req.Header.IsHead()
-	return timeoutError(readWhole(br, resp, hc.MaxResponseBodySize))
+	return timeoutError(ReadWhole(br, resp, hc.MaxResponseBodySize))
 }
 
-// readWhole reads the next final response and its whole body, of at most the given number of bytes unless that is 0.
-func readWhole(br *bufio.Reader, resp *fasthttp.Response, maxBytes int) error {
+// ReadWhole reads the next final response with its whole body, of at most the given number of bytes unless that is 0.
+func ReadWhole(br *bufio.Reader, resp *fasthttp.Response, maxBytes int) error {
 	if _, err := Next(br); err != nil {
 		return err
 	}
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -19,6 +19,7 @@
 	"bilberrymux/core/once"
 	"bilberrymux/core/refusal"
 	"bilberrymux/io/backend"
+	"bilberrymux/io/httpread"
 )
 
 // Call is one caller's request with the attributes that are needed to route and run it.
@@ -137,10 +138,23 @@
 	return bufio.NewReaderSize(bytes.NewReader(raw), len(raw))
 }
 
+// decodeHead returns a response with the head that another daemon handed on, which must be well-formed.
+func decodeHead(raw []byte) (*fasthttp.Response, error) {
+	r := newMessageReader(raw)
+	if _, err := httpread.Next(r); err != nil {
+		return nil, fmt.Errorf("router: forwarded answer: %w", err)
+	}
+	resp := &fasthttp.Response{}
+	if err := resp.Header.Read(r); err != nil {
+		return nil, fmt.Errorf("router: forwarded answer: %w", err)
+	}
+	return resp, nil
+}
+
 // decodeAnswer decodes an answer that encodeAnswer has encoded.
 func decodeAnswer(raw []byte) (*backend.Answer, error) {
 	resp := &fasthttp.Response{}
-	if err := resp.Read(newMessageReader(raw)); err != nil {
+	if err := httpread.ReadWhole(newMessageReader(raw), resp, 0); err != nil {
 		return nil, fmt.Errorf("router: kept answer: %w", err)
 	}
 	return &backend.Answer{Response: resp}, nil
--- a/io/router/forward.go
+++ b/io/router/forward.go
@@ -100,8 +100,8 @@
 			Kind: refusal.Kind(first.GetRefusal()), Detail: first.GetDetail(), MayHaveRun: first.GetRan(),
 		}}
 	}
-	resp := &fasthttp.Response{}
-	if err := resp.Header.Read(newMessageReader(first.GetHead())); err != nil {
+	resp, err := decodeHead(first.GetHead())
+	if err != nil {
 		in.closeStream()
 		return peerLostReply(err)
 	}
--- a/io/standin/fleet/heads_test.go
+++ b/io/standin/fleet/heads_test.go
@@ -1,7 +1,9 @@
 package fleet_test
 
 import (
+	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -45,13 +47,23 @@
 	}
 }
 
-// TestUnusualHeadsReachCallers checks that responses which are well-formed are passed on.
+// TestUnusualHeadsReachCallers checks that responses which are well-formed are passed on, also by daemons that forward the
+// order to another one, and when their bodies are streamed.
 func TestUnusualHeadsReachCallers(t *testing.T) {
-	f := start(t, options(1))
+	const largeBytes = 300 << 10
+	f := start(t, options(3))
 	for _, c := range headcases.Load().Ordinary {
 		t.Run(c.Name, func(t *testing.T) {
 			setHeadCase(f, c.Name)
-			checkOwnAnswer(t, f, c.Name, sendOrder(t, f, c.Name))
+			for n, address := range f.Entries() {
+				id := fmt.Sprintf("%s-%d", c.Name, n)
+				headers := map[string]string{backendserver.TestIDHeader: id}
+				checkOwnAnswer(t, f, id, send(t, address, call{"POST", "/orders", "an order", headers}))
+				headers = map[string]string{backendserver.ResponseSizeHeader: strconv.Itoa(largeBytes)}
+				if resp := send(t, address, call{"POST", "/orders", "an order", headers}); len(resp.Body()) != largeBytes {
+					t.Errorf("got status %d and %d bytes, want %d", resp.StatusCode(), len(resp.Body()), largeBytes)
+				}
+			}
 		})
 	}
 }
