--- a/cmd/bilberrymux/admin.go
+++ b/cmd/bilberrymux/admin.go
@@ -10,6 +10,7 @@
 
 	"bilberrymux/core/settings"
 	"bilberrymux/io/admin"
+	"bilberrymux/io/httpread"
 )
 
 // adminOptions holds the flags of every command that calls the administration API of a daemon.
@@ -44,7 +45,7 @@
 		}
 		req.SetBody(body)
 	}
-	client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	client := fasthttp.Client{MaxIdemponentCallAttempts: 1, ConfigureClient: httpread.Configure}
 	if err := client.DoTimeout(req, resp, adminTimeout); err != nil {
 		return &exitError{exitUnknown, fmt.Errorf("%s: %w", o.Admin, err)}
 	}
--- a/cmd/bilberrymux/links.go
+++ b/cmd/bilberrymux/links.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"bilberrymux/io/httpread"
 	"bilberrymux/io/netfault"
 	"bilberrymux/io/periodic"
 	"bilberrymux/io/standin/platformserver"
@@ -25,8 +26,9 @@
 func pollLinkRules(ctx context.Context, address string, rules *netfault.Rules) func(string) string {
 	var names atomic.Pointer[map[string]string]
 	names.Store(&map[string]string{})
+	client := fasthttp.Client{ConfigureClient: httpread.Configure}
 	fetch := func() {
-		status, body, err := fasthttp.GetTimeout(nil, "http://"+address+platformserver.PathLinks, linkPollInterval)
+		status, body, err := client.GetTimeout(nil, "http://"+address+platformserver.PathLinks, linkPollInterval)
 		if err != nil || status != fasthttp.StatusOK {
 			return
 		}
--- a/cmd/bilberrymux/show.go
+++ b/cmd/bilberrymux/show.go
@@ -15,6 +15,7 @@
 	"bilberrymux/core/shard"
 	"bilberrymux/io/admin"
 	"bilberrymux/io/front"
+	"bilberrymux/io/httpread"
 )
 
 // table writes rows with aligned columns to standard output. Nothing is written before flush.
@@ -185,7 +186,8 @@
 // Execute implements flags.Commander.
 func (c *locateCommand) Execute([]string) error {
 	url := "http://" + c.Daemon + front.LocatePath + "?service=" + c.Args.Service
-	status, body, err := fasthttp.GetTimeout(nil, url, adminTimeout)
+	client := fasthttp.Client{ConfigureClient: httpread.Configure}
+	status, body, err := client.GetTimeout(nil, url, adminTimeout)
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.Daemon, err)
 	}
--- a/io/httpread/transport.go
+++ b/io/httpread/transport.go
@@ -11,8 +11,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Transport is a fasthttp.RoundTripper that reads responses like Next and ReadStream. It never asks the client for a
-// further attempt: a request whose response was malformed or lost may have taken effect. It is safe for concurrent use.
+// Transport is a fasthttp.RoundTripper that reads responses like Next and ReadStream. A client whose requests must not be
+// repeated must allow one attempt: the request may have taken effect after any error but a failed dial. It is safe for
+// concurrent use.
 type Transport struct{}
 
 // Configure makes a host client of a fasthttp.Client use a Transport. It is a value for ConfigureClient, and returns nil.
@@ -22,6 +23,7 @@
 }
 
 // RoundTrip implements fasthttp.RoundTripper. The body of the response is read whole. A connection that failed is closed.
+// As with the library's own transport, retry reports whether another attempt may have another result.
 func (Transport) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
 	timeout := req.GetTimeOut()
 	cc, err := hc.AcquireConn(timeout, req.ConnectionClose())
@@ -30,7 +32,7 @@
 	}
 	if err := exchange(hc, cc.Conn(), req, resp, timeout); err != nil {
 		hc.CloseConn(cc)
-		return false, err
+		return !errors.Is(err, fasthttp.ErrBodyTooLarge), err
 	}
 	if req.ConnectionClose() || resp.ConnectionClose() {
 		hc.CloseConn(cc)
@@ -86,7 +88,8 @@
 		return fasthttp.ErrBodyTooLarge
 	}
 	resp.StreamBody = false
-	resp.SetBodyRaw(body)
+	// Get functions of the library read the buffer that SetBody fills.
+	resp.SetBody(body)
 	return nil
 }
 
