--- a/core/httphead/trailers_test.go
+++ b/core/httphead/fields_test.go
@@ -7,8 +7,8 @@
 	"bilberrymux/core/httphead"
 )
 
-// TestCheckTrailers checks where trailers end, and that malformed ones are found as soon as a line shows it.
-func TestCheckTrailers(t *testing.T) {
+// TestCheckFields checks where trailers end, and that malformed ones are found as soon as a line shows it.
+func TestCheckFields(t *testing.T) {
 	for _, test := range []struct {
 		text      string
 		malformed bool
@@ -27,22 +27,22 @@
 		{text: ": 1\r\n\r\n", malformed: true},
 	} {
 		// Bytes of the next response may follow.
-		if err := checkTrailers(test.text + "HTTP/1.1 200 OK\r\n\r\n"); errors.Is(err, httphead.ErrMalformed) != test.malformed || !test.malformed && err != nil {
+		if err := checkFields(test.text + "HTTP/1.1 200 OK\r\n\r\n"); errors.Is(err, httphead.ErrMalformed) != test.malformed || !test.malformed && err != nil {
 			t.Errorf("%q: got error %v, want ErrMalformed %v", test.text, err, test.malformed)
 		}
 	}
-	if err := httphead.CheckTrailers([]byte("A: 1")); !errors.Is(err, httphead.ErrMalformed) {
+	if err := httphead.CheckFields([]byte("A: 1")); !errors.Is(err, httphead.ErrMalformed) {
 		t.Errorf("without an empty line: got error %v, want ErrMalformed", err)
 	}
 }
 
-// checkTrailers checks the trailers that a text begins with, and all begins of them.
-func checkTrailers(text string) error {
+// checkFields checks the trailers that a text begins with, and all begins of them.
+func checkFields(text string) error {
 	for n := range len(text) + 1 {
-		if end := httphead.TrailersEnd([]byte(text[:n])); end > 0 {
-			return httphead.CheckTrailers([]byte(text[:end]))
+		if end := httphead.FieldsEnd([]byte(text[:n])); end > 0 {
+			return httphead.CheckFields([]byte(text[:end]))
 		}
-		if err := httphead.CheckTrailersBegin([]byte(text[:n])); err != nil {
+		if err := httphead.CheckFieldsBegin([]byte(text[:n])); err != nil {
 			return err
 		}
 	}
--- a/internal/headcases/headcases.go
+++ b/internal/headcases/headcases.go
@@ -1,5 +1,5 @@
 // Package headcases holds responses of HTTP/1.1 servers whose heads or trailers are malformed, and unusual ones that are
-// well-formed, for the tests of everything that reads responses.
+// well-formed, for the tests of everything that reads responses; also such fields of requests.
 package headcases
 
 import (
@@ -29,6 +29,10 @@
 	MalformedTrailers []Case `json:"malformedTrailers"`
 	// Ordinary responses are successes whose body must arrive whole.
 	Ordinary []Case `json:"ordinary"`
+	// MalformedRequestFields are fields of requests that no server may get, and OrdinaryRequestFields unusual ones
+	// that reach it. Their texts are lines that end with CRLF.
+	MalformedRequestFields []Case `json:"malformedRequestFields"`
+	OrdinaryRequestFields  []Case `json:"ordinaryRequestFields"`
 }
 
 //go:embed cases.json
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -17,6 +17,7 @@
 	"bilberrymux/core/refusal"
 	"bilberrymux/io/connwatch"
 	"bilberrymux/io/hopbyhop"
+	"bilberrymux/io/httpread"
 	"bilberrymux/io/meter"
 	"bilberrymux/io/refusalhttp"
 	"bilberrymux/platform"
@@ -107,6 +108,11 @@
 // parse finds the route and the deadline of a request with the given body. The returned call is nil if the
 // request is refused.
 func (s *callerServer) parse(c *fiber.Ctx, body []byte, now time.Time) (*call, *refusal.Error) {
+	if err := httpread.CheckRequest(&c.Request().Header); err != nil {
+		// The caller may hold other bytes than the library for the end of the request.
+		c.Response().SetConnectionClose()
+		return nil, refusal.New(refusal.BadRequest, "%v", err)
+	}
 	cat := s.edge.watcher.Catalog()
 	if cat.Version == 0 {
 		return nil, refusal.New(refusal.NotReady, "")
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -22,6 +22,7 @@
 	"bilberrymux/io/backend"
 	"bilberrymux/io/connwatch"
 	"bilberrymux/io/hopbyhop"
+	"bilberrymux/io/httpread"
 	"bilberrymux/io/refusalhttp"
 	"bilberrymux/io/router"
 )
@@ -205,6 +206,11 @@
 // served. The library reuses the memory of a request's headers, so strings that outlive the handler must
 // be cloned.
 func (f *Front) newCall(c *fiber.Ctx, now time.Time) (*router.Call, *refusal.Error) {
+	if err := httpread.CheckRequest(&c.Request().Header); err != nil {
+		// The caller may hold other bytes than the library for the end of the request.
+		c.Response().SetConnectionClose()
+		return nil, refusal.New(refusal.BadRequest, "%v", err)
+	}
 	cfg := f.options.Config()
 	if cfg.Version == 0 {
 		return nil, refusal.New(refusal.NotReady, "")
--- a/io/httpread/body.go
+++ b/io/httpread/body.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	if err := httphead.CheckTrailers(raw); err != nil {
+	if err := httphead.CheckFields(raw); err != nil {
 		return err
 	}
 	if err := b.header.ReadTrailer(b.br); err != nil {
--- a/io/httpread/httpread.go
+++ b/io/httpread/httpread.go
@@ -1,5 +1,5 @@
 // Package httpread reads responses of HTTP/1.1 servers. It checks the head of each response before the HTTP library, which
-// tolerates and merges much of what servers write, makes anything of it.
+// tolerates and merges much of what servers write, makes anything of it. It also checks the fields of requests.
 package httpread
 
 import (
--- a/io/httpread/httpread_test.go
+++ b/io/httpread/httpread_test.go
@@ -121,3 +121,45 @@
 		}
 	}
 }
+
+// TestCheckRequest checks the fields of requests as the library has received them.
+func TestCheckRequest(t *testing.T) {
+	cases := headcases.Load()
+	check := func(c headcases.Case) error {
+		var req fasthttp.Request
+		text := "POST /x HTTP/1.1\r\nHost: h\r\n" + c.Expand("", "") + "\r\n"
+		if err := req.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+			return httphead.ErrMalformed
+		}
+		return httpread.CheckRequest(&req.Header)
+	}
+	for _, c := range cases.MalformedRequestFields {
+		if err := check(c); !errors.Is(err, httphead.ErrMalformed) {
+			t.Errorf("%s: got error %v, want ErrMalformed", c.Name, err)
+		}
+	}
+	for _, c := range cases.OrdinaryRequestFields {
+		if err := check(c); err != nil {
+			t.Errorf("%s: got error %v", c.Name, err)
+		}
+	}
+	if err := httpread.CheckRequest(&fasthttp.RequestHeader{}); err != nil {
+		t.Errorf("without fields: got error %v", err)
+	}
+}
+
+// BenchmarkCheckRequest measures the check of a request with eight fields.
+func BenchmarkCheckRequest(b *testing.B) {
+	var req fasthttp.Request
+	const text = "POST /leny950/2f HTTP/1.1\r\nHost: hulo84.example\r\nBilberrymux-Request-Id: 9c41d07be2a35f68\r\nBilberrymux-Deadline-Ms: 6000\r\n" +
+		"User-Agent: bookings/4.2\r\nAccept: application/json\r\nContent-Type: application/json\r\nTraceparent: 00-4bf92f3577b34da6a3ce929d0e0e4736-01\r\nContent-Length: 0\r\n\r\n"
+	if err := req.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := httpread.CheckRequest(&req.Header); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/io/httpread/section.go
+++ b/io/httpread/section.go
@@ -19,7 +19,7 @@
 
 var (
 	heads    = section{httphead.End, httphead.CheckBegin}
-	trailers = section{httphead.TrailersEnd, httphead.CheckTrailersBegin}
+	trailers = section{httphead.FieldsEnd, httphead.CheckFieldsBegin}
 )
 
 // peek returns the section that the reader holds next, without consuming it. It waits until the section is complete, or
