--- a/io/edge/strictreader_test.go
+++ b/io/edge/strictreader_test.go
@@ -59,26 +59,31 @@
 	if err != nil || code < 200 || code > 599 || !allText(status) {
 		return nil
 	}
-	m := &strictMessage{status: code, fields: map[string][]string{}}
+	m := &strictMessage{status: code}
+	if m.fields = r.fields(); m.fields == nil || !r.body(m) {
+		return nil
+	}
+	return m
+}
+
+// fields reads fields and the empty line after them, or returns nil.
+func (r *strictReader) fields() map[string][]string {
+	fields := map[string][]string{}
 	for {
 		line, found := r.line()
 		if !found {
 			return nil
 		}
 		if line == "" {
-			break
+			return fields
 		}
 		name, value, ok := strings.Cut(line, ":")
 		if !ok || name == "" || strings.Trim(strings.ToLower(name), "abcdefghijklmnopqrstuvwxyz0123456789!#$%&'*+-.^_`|~") != "" || !allText(value) {
 			return nil
 		}
 		key := strings.ToLower(name)
-		m.fields[key] = append(m.fields[key], strings.Trim(value, " \t"))
-	}
-	if !r.body(m) {
-		return nil
+		fields[key] = append(fields[key], strings.Trim(value, " \t"))
 	}
-	return m
 }
 
 // allText reports whether the text has no control characters other than tabs.
