--- a/core/httphead/fields.go
+++ b/core/httphead/fields.go
@@ -4,8 +4,35 @@
 	"bytes"
 	"fmt"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
+// field is one field of a head, or one trailer.
+type field struct {
+	name, value string
+}
+
+// blanks may stand around the value of a field.
+const blanks = " \t"
+
+// parseField returns the field in a line.
+func parseField(line string) (field, error) {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return field{}, fmt.Errorf("%w: field %q", ErrMalformed, shorten(line))
+	}
+	return field{name, strings.Trim(value, blanks)}, nil
+}
+
+// maxQuoted is the maximum number of bytes of a line that an error quotes.
+const maxQuoted = 100
+
+// shorten returns the begin of a line for an error.
+func shorten(line string) string {
+	return line[:min(len(line), maxQuoted)]
+}
+
 // FieldsEnd returns the length in bytes of the fields that b begins with, including the empty line after them, or 0 if
 // they are incomplete. There may be none.
 func FieldsEnd(b []byte) int {
