--- a/internal/headserver/headserver.go
+++ b/internal/headserver/headserver.go
@@ -3,9 +3,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -15,21 +17,23 @@
 // Server answers all requests with the same case. It is safe for concurrent use.
 type Server struct {
 	// Address is the host and port that the server listens on.
-	Address  string
-	body     string
+	Address string
+	body    string
+	// echoed are the names of the fields of a request that responses repeat.
+	echoed   []string
 	headCase atomic.Pointer[headcases.Case]
 }
 
-// Start starts a server on loopback, which answers with an ordinary response that has the body. It stops at the end of
-// the test.
-func Start(t testing.TB, body string) *Server {
+// Start starts a server on loopback, which answers with an ordinary response that has the body and repeats the named fields
+// of the request. It stops at the end of the test.
+func Start(t testing.TB, body string, echoed ...string) *Server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &Server{Address: l.Addr().String(), body: body}
+	s := &Server{Address: l.Addr().String(), body: body, echoed: echoed}
 	ordinary, ok := headcases.Find("plain")
 	if !ok {
 		t.Fatal("headserver: there is no ordinary case")
@@ -64,8 +68,17 @@
 			return
 		}
 		c := *s.headCase.Load()
-		if _, err := io.WriteString(conn, c.Expand("", s.body)); err != nil || c.Closes {
+		if _, err := io.WriteString(conn, c.Expand(s.echo(req), s.body)); err != nil || c.Closes {
 			return
 		}
 	}
 }
+
+// echo returns the fields of a response that repeat those of the request.
+func (s *Server) echo(req *http.Request) string {
+	var fields strings.Builder
+	for _, name := range s.echoed {
+		fmt.Fprintf(&fields, "%s: %s\r\n", name, req.Header.Get(name))
+	}
+	return fields.String()
+}
