--- a/io/standin/gridserver/heads.go
+++ b/io/standin/gridserver/heads.go
@@ -9,25 +9,29 @@
 	"bilberrymux/internal/headcases"
 )
 
-// headFault is the prefix of the faults with which the server runs the request and then writes a response of
-// internal/headcases, whose name follows.
-const headFault = "head/"
+// Prefixes of the faults with which the server runs the request and then writes a response of internal/headcases, whose
+// name follows.
+const (
+	malformedHead = "malformedHead/"
+	ordinaryHead  = "ordinaryHead/"
+)
 
-// MalformedHeads returns the faults with which the server answers with a malformed head or malformed trailers.
+// MalformedHeads returns the faults with which the server answers with a malformed head or malformed trailers. The body
+// is not that of an answer.
 func MalformedHeads() []Fault {
 	cases := headcases.Load()
-	return headFaults(slices.Concat(cases.Malformed, cases.MalformedTrailers))
+	return headFaults(malformedHead, slices.Concat(cases.Malformed, cases.MalformedTrailers))
 }
 
 // OrdinaryHeads returns the faults with which the server answers with a head that is unusual but well-formed.
 func OrdinaryHeads() []Fault {
-	return headFaults(headcases.Load().Ordinary)
+	return headFaults(ordinaryHead, headcases.Load().Ordinary)
 }
 
-func headFaults(cases []headcases.Case) []Fault {
+func headFaults(prefix string, cases []headcases.Case) []Fault {
 	var out []Fault
 	for _, c := range cases {
-		out = append(out, Fault(headFault+c.Name))
+		out = append(out, Fault(prefix+c.Name))
 	}
 	return out
 }
@@ -35,8 +39,10 @@
 // writeHeadCase writes the response of a fault, if that is one of MalformedHeads or OrdinaryHeads, after which the
 // connection ends.
 func writeHeadCase(conn net.Conn, fields, body string, fault Fault) (written bool) {
-	name, ok := strings.CutPrefix(string(fault), headFault)
-	if !ok {
+	name, malformed := strings.CutPrefix(string(fault), malformedHead)
+	if malformed {
+		body = "malformed " + body
+	} else if name, written = strings.CutPrefix(string(fault), ordinaryHead); !written {
 		return false
 	}
 	c, ok := headcases.Find(name)
