--- a/io/standin/rowstore/rowstore.go
+++ b/io/standin/rowstore/rowstore.go
@@ -82,6 +82,8 @@
 	// droppedVersion is the last version whose changes were dropped from the history.
 	droppedVersion uint64
 	version        uint64
+	// era counts the returns from a copy, beginning with firstEra.
+	era uint64
 	// stopped is closed when the store is closed.
 	stopped         chan struct{}
 	faults          Faults
@@ -97,7 +99,7 @@
 func New(o Options) *Server {
 	s := &Server{
 		options: o, rows: map[rowKey]Row{}, calls: map[string]int{}, callsThisSecond: map[string]int{},
-		changed: make(chan struct{}), stopped: make(chan struct{}), random: rand.New(rand.NewPCG(o.Seed, 2)), started: time.Now(),
+		changed: make(chan struct{}), stopped: make(chan struct{}), era: firstEra, random: rand.New(rand.NewPCG(o.Seed, 2)), started: time.Now(),
 	}
 	s.http = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true, Logger: discardLogger{}}
 	return s
@@ -132,8 +134,7 @@
 		close(s.stopped)
 	}
 	s.closed = true
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // SetFaults replaces the injected faults.
@@ -149,8 +150,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history, s.droppedVersion = nil, s.version
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // Calls returns the number of calls by path, including rejected ones.
@@ -199,13 +199,13 @@
 		s.rows[k] = r
 	}
 	s.history = append(s.history, r)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // handle serves a call, or rejects it according to the faults and the rate limits.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	setEra(ctx, s.Era())
 	s.mu.Lock()
 	s.calls[path]++
 	mode, delay := s.faults.Down, s.faults.DelayMillis
@@ -294,10 +294,15 @@
 	More    bool    `json:"has_more"`
 	Version uint64  `json:"row_version"`
 	Now     float64 `json:"now_s"`
+	// era is that in which the rows were read, or 0 for the current one.
+	era uint64
 }
 
 // writeReply sets the store's clock in a reply and writes it as JSON.
 func (s *Server) writeReply(ctx *fasthttp.RequestCtx, r reply) {
+	if r.era > 0 {
+		setEra(ctx, r.era)
+	}
 	r.Now = time.Since(s.started).Seconds()
 	if r.Rows == nil {
 		r.Rows = []Row{}
@@ -331,15 +336,16 @@
 			rows = append(rows, r)
 		}
 	}
-	version := s.version
+	version, era := s.version, s.era
 	s.mu.Unlock()
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
 	more := len(rows) > limit
-	s.writeReply(ctx, reply{Rows: rows[:min(limit, len(rows))], More: more, Version: version})
+	s.writeReply(ctx, reply{Rows: rows[:min(limit, len(rows))], More: more, Version: version, era: era})
 }
 
 // handleFeed returns the changes of a table after a version. Without any, it waits up to "wait_ms"
-// milliseconds for one. It answers with status 410 if changes after the version were dropped.
+// milliseconds for one. It answers with status 410 if changes after the version were dropped, or if the
+// store has not given out the version.
 func (s *Server) handleFeed(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	after, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
@@ -352,22 +358,23 @@
 	defer deadline.Stop()
 	for {
 		s.mu.Lock()
-		if after < s.droppedVersion {
+		version, era, changed, closed := s.version, s.era, s.changed, s.closed
+		if after < s.droppedVersion || after > version {
 			s.mu.Unlock()
+			setEra(ctx, era)
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			return
 		}
 		rows := s.changesAfter(string(args.Peek("table")), after)
-		version, changed, closed := s.version, s.changed, s.closed
 		s.mu.Unlock()
 		if len(rows) > 0 || closed {
-			s.writeReply(ctx, reply{Rows: rows, Version: version})
+			s.writeReply(ctx, reply{Rows: rows, Version: version, era: era})
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline.C:
-			s.writeReply(ctx, reply{Version: version})
+			s.writeReply(ctx, reply{Version: version, era: era})
 			return
 		}
 	}
