--- a/io/discovery/config.go
+++ b/io/discovery/config.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bilberrymux/core/event"
+	"bilberrymux/core/ident"
 	"bilberrymux/platform"
 )
 
@@ -48,26 +49,30 @@
 	if err != nil {
 		return fmt.Errorf("discovery: configuration: %w", err)
 	}
-	w.applyConfigRows(rows, version, started, started)
-	return nil
+	return w.applyConfigRows(rows, version, started, started)
 }
 
 // applyConfigRows applies the configuration contained in rows of the store, if any,
 // and records that the store was read at a version, not before readAt, by a call that was started at the
-// given time.
-func (w *Watcher) applyConfigRows(rows []platform.Row, version uint64, started, readAt time.Time) {
+// given time. An answer of an earlier era than the last one confirms nothing, and is an error.
+func (w *Watcher) applyConfigRows(rows []platform.Row, version ident.StoreVersion, started, readAt time.Time) error {
 	for _, r := range rows {
 		if r.Key == platform.KeyConfig && !r.Deleted {
 			w.options.Log.WithFields(logrus.Fields{
-				"rowVersion": r.Version, "revision": version, "tookMillis": time.Since(started).Milliseconds(),
+				"rowVersion": r.Version, "revision": version.Number, "era": version.Era, "tookMillis": time.Since(started).Milliseconds(),
 			}).Info(event.ConfigRead)
 			w.applyConfig(r.Value, readAt, sourceStore)
 		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if version.Era < w.feedFrom.Era {
+		w.options.Count("store.pastEra")
+		return fmt.Errorf("discovery: configuration: %w: version %v", errPastEra, version)
+	}
 	w.configConfirmedAt, w.configReadAt = later(w.configConfirmedAt, readAt), later(w.configReadAt, readAt)
-	w.feedFrom = max(w.feedFrom, version)
+	w.feedFrom = ident.Later(w.feedFrom, version)
+	return nil
 }
 
 // pollConfig makes one call for changes of the configuration, which the store may hold
@@ -78,7 +83,7 @@
 	w.mu.Lock()
 	from := w.feedFrom
 	w.mu.Unlock()
-	if from == 0 {
+	if from.IsZero() {
 		return w.ReadConfig(ctx)
 	}
 	feeding, cancel := context.WithTimeout(ctx, wait+configPatience+lateCallTimeout)
@@ -86,14 +91,13 @@
 	started := time.Now()
 	rows, version, err := w.options.Store.Feed(feeding, platform.TableConfig, from, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
-		w.options.Log.WithField("version", from).Warn("the store no longer has the changes since this version, reading the configuration again")
+		w.options.Log.WithError(err).WithFields(logrus.Fields{"version": from.Number, "era": from.Era}).Warn("the store no longer has the changes since this version, reading the configuration again")
 		return w.ReadConfig(ctx)
 	}
 	if err != nil {
 		return fmt.Errorf("discovery: feed: %w", err)
 	}
-	w.applyConfigRows(rows, version, started, feedReadAt(started, time.Now(), wait, len(rows) > 0))
-	return nil
+	return w.applyConfigRows(rows, version, started, feedReadAt(started, time.Now(), wait, len(rows) > 0))
 }
 
 // feedReadAt returns the earliest time at which the store can have read the answer to a call for changes
--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -72,7 +73,7 @@
 	readFromStore, configFromStore bool
 	// feedFrom is the version of the store after which the next call of the
 	// configuration feed asks for changes.
-	feedFrom uint64
+	feedFrom ident.StoreVersion
 	// peerVersion is the newest configuration version that a peer announced, and
 	// peerVersionAt is the time of the first announcement.
 	peerVersion   ident.Version
@@ -199,6 +200,9 @@
 	return age(now, w.configReadAt), age(now, w.serversReadAt)
 }
 
+// errPastEra is returned for an answer of the store that is of an earlier era than what is known.
+var errPastEra = errors.New("discovery: the answer is of an earlier era of the store")
+
 // ReadServers reads the list of servers from the store and applies it.
 func (w *Watcher) ReadServers(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listPatience+lateCallTimeout)
@@ -209,7 +213,7 @@
 		return fmt.Errorf("discovery: servers: %w", err)
 	}
 	// The store may have read the rows at any time since the call.
-	w.applyServers(time.Now(), wholeList(rows, revision), started, sourceStore)
+	w.applyServers(time.Now(), wholeList(rows, revision.Number), started, sourceStore)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.serversReadAt = later(w.serversReadAt, started)
--- a/io/discovery/peers.go
+++ b/io/discovery/peers.go
@@ -75,7 +75,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := &news.State{
-		Version: w.catalog.Load().Version, VersionAgeMillis: uint32(config.Milliseconds()), FeedFrom: w.feedFrom,
+		Version: w.catalog.Load().Version, VersionAgeMillis: uint32(config.Milliseconds()), FeedFrom: w.feedFrom.Number, FeedEra: w.feedFrom.Era,
 		Revision: w.rows.revision, RevisionAgeMillis: uint32(servers.Milliseconds()),
 	}
 	var key news.PayloadKey
@@ -188,7 +188,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if s.Version == w.catalog.Load().Version {
-		w.feedFrom = max(w.feedFrom, s.FeedFrom)
+		w.feedFrom = ident.Later(w.feedFrom, s.FeedVersion())
 	}
 }
 
--- a/io/discovery/rows.go
+++ b/io/discovery/rows.go
@@ -43,7 +43,7 @@
 // can't be decoded, as before. The encoded value changes with every report that a
 // server sends, so the bytes can't be compared.
 func (r *row) sameServer(value []byte, key string) bool {
-	server, err := platform.DecodeServer(key, value)
+	server, _, err := platform.DecodeServer(key, value)
 	if err != nil {
 		return !r.valid
 	}
@@ -100,7 +100,7 @@
 			continue
 		}
 		r := row{value: value, revision: c.Revision}
-		server, err := platform.DecodeServer(key, value)
+		server, _, err := platform.DecodeServer(key, value)
 		if err != nil {
 			decodeErrors[key] = err
 			// The text of an unreadable row is of no use to peers, and may be large.
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -113,6 +113,13 @@
 	Busy bool `cbor:"9,keyasint,omitempty"`
 	// Revision is the revision of the replying daemon's list, or 0 if the daemon is of an older build.
 	Revision uint64 `cbor:"10,keyasint,omitempty"`
+	// FeedEra is the era of FeedFrom.
+	FeedEra ident.Era `cbor:"12,keyasint,omitempty"`
+}
+
+// FeedVersion returns the store version up to which Version is known to be the newest configuration.
+func (s *State) FeedVersion() ident.StoreVersion {
+	return ident.StoreVersion{Era: s.FeedEra, Number: s.FeedFrom}
 }
 
 // cborEncoding encodes the messages of the drpc calls as CBOR.
--- a/io/soak/wrong_test.go
+++ b/io/soak/wrong_test.go
@@ -137,7 +137,7 @@
 	if rows, _, err := d.store.Rows(ctx, platform.TableServers); err == nil {
 		var list []roster.Server
 		for _, r := range rows {
-			if s, err := platform.DecodeServer(r.Key, r.Value); err == nil && !s.Draining {
+			if s, _, err := platform.DecodeServer(r.Key, r.Value); err == nil && !s.Draining {
 				list = append(list, s)
 			}
 		}
