Changes of a peer are taken only from a base that the receiver itself knows

A daemon whose first list fell into a lapse of a server's row could leave that server out for good: a peer that never saw the row missing sends changes without it.

Now the base must be one of the receiver's exact revisions.

--- a/io/discovery/rows.go
+++ b/io/discovery/rows.go
@@ -75,14 +75,14 @@
 }
 
 // accepts reports whether the set is up to date after it applies the changes. Changes with an older base
-// must contain all rows that changed since then, as far as the set knows: what they do not contain is as it
+// must contain all rows that changed since then, and the set must know those: what the changes do not contain is as it
 // was at their base.
 func (s *rowSet) accepts(c *news.Changes) bool {
 	base := c.Base()
 	if c.Whole() || base == s.revision {
 		return true
 	}
-	if base.After(s.revision) {
+	if !s.isExactAt(base) {
 		return false
 	}
 	contains := func(key string) bool {
--- a/io/discovery/rows_test.go
+++ b/io/discovery/rows_test.go
@@ -201,3 +201,20 @@
 		t.Error("the state for a peer lacks the large row")
 	}
 }
+
+// TestChangesFromBaseBeforeOwnHistoryAreNotAccepted guards against a list that lacks a server whose row was missing when the
+// daemon first read the store, and is back: the changes of a peer that never saw it missing don't contain it.
+func TestChangesFromBaseBeforeOwnHistoryAreNotAccepted(t *testing.T) {
+	reader, peer := newRowSet(), newRowSet()
+	rows := []platform.Row{{Key: "1", Value: rowOf(1, 0)}}
+	reader.apply(time.Time{}, wholeList(rows, at(1)))
+	peer.apply(time.Time{}, wholeList(nil, at(2)))
+	reader.apply(time.Time{}, wholeList(rows, at(3)))
+	if c := reader.since(at(1)); peer.accepts(c) {
+		t.Errorf("changes %+v were accepted by a list that knows nothing of their base", c)
+	}
+	peer.apply(time.Time{}, reader.since(peer.revision))
+	if diff := cmp.Diff(serversOf(&reader), serversOf(&peer)); diff != "" {
+		t.Errorf("servers (-sender +receiver):\n%s", diff)
+	}
+}
