--- a/core/shard/finish.go
+++ b/core/shard/finish.go
@@ -131,7 +131,10 @@
 	latency := now.Sub(a.Started)
 	limit := s.slowLimit(a.Ticket.LatencyClass)
 	s.latencies[a.Ticket.LatencyClass%latencyClasses].Add(latency)
-	s.options.Poison.RecordCompletion(s.options.ID.Service, a.Ticket.Fingerprint)
+	if e, lifted := s.options.Poison.RecordCompletion(now, s.options.ID.Service, a.Ticket.Fingerprint); lifted {
+		s.options.Count("poison.lifted")
+		s.options.Quarantined(e)
+	}
 	slow := limit > 0 && latency > limit
 	m.slows.Add(slow || a.SlowCount > 0)
 	if !slow {
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -217,7 +217,7 @@
 	if err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, "hex must be 16 hexadecimal digits")
 	}
-	e, ok := a.options.Poison.Release(req.Service, ident.Fingerprint(fingerprint))
+	e, ok := a.options.Poison.Release(ident.Fingerprint(fingerprint))
 	if !ok {
 		return fiber.NewError(fiber.StatusNotFound, "no such quarantine")
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -237,10 +237,11 @@
 	}).Info("backend server changed its state")
 }
 
-// requestQuarantined logs a request that this daemon quarantined and broadcasts it to the fleet.
+// requestQuarantined logs a request that this daemon quarantined, or whose quarantine an answer lifted, and broadcasts it to
+// the fleet.
 func (d *Daemon) requestQuarantined(e poison.Entry) {
 	d.log.WithFields(logrus.Fields{
-		"service": e.Service, "fingerprint": fmt.Sprintf("%016x", uint64(e.Fingerprint)), "servers": e.Servers,
+		"service": e.Service, "fingerprint": fmt.Sprintf("%016x", uint64(e.Fingerprint)), "servers": e.Servers, "released": e.Released,
 	}).Warn("request quarantined")
 	d.gossip.BroadcastPoison(e)
 }
--- a/io/dispatch/dispatch.go
+++ b/io/dispatch/dispatch.go
@@ -111,7 +111,7 @@
 func (r *run) runAttempts(ctx context.Context) (*backend.Answer, *refusal.Error) {
 	r.d.Shard.RecordRequest()
 	for number := 1; ; number++ {
-		if r.d.Poison.Blocked(time.Now(), r.req.Service, r.req.Fingerprint) {
+		if !r.d.Poison.Admit(time.Now(), r.req.Service, r.req.Fingerprint) {
 			return nil, r.refuse(refusal.Poison)
 		}
 		a, kind := r.acquireSlot(ctx)
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -30,7 +30,7 @@
 	if answer != nil {
 		e.learnStatements(&a.Server, answer, outcome, start)
 	}
-	e.recordEnd(a, answer, outcome, took)
+	e.recordEnd(k, a, answer, outcome, took)
 	result := attemptResult{a, outcome, answer, use, err}
 	e.recordAttempt(k, result, took)
 	if outcome == belief.Broken {
@@ -70,18 +70,24 @@
 	return platform.ClassifyResponse(&answer.Response.Header, answer.Head, requestID) == platform.Answered
 }
 
-// recordEnd records the outcome of an attempt as evidence about the server. That of a streamed answer
+// recordEnd records the outcome of an attempt as evidence about the server and the request. That of a streamed answer
 // is known when its body ends.
-func (e *Edge) recordEnd(a *belief.Attempt, answer *backend.Answer, o belief.Outcome, took time.Duration) {
-	if answer == nil || !answer.Streamed {
+func (e *Edge) recordEnd(k *call, a *belief.Attempt, answer *backend.Answer, o belief.Outcome, took time.Duration) {
+	record := func(o belief.Outcome) {
 		e.tracker.End(time.Now(), a, o, took)
+		if o == belief.Good {
+			e.recordCompletion(k.service, k.fingerprint)
+		}
+	}
+	if answer == nil || !answer.Streamed {
+		record(o)
 		return
 	}
 	answer.OnEnd(func(end shard.Outcome) {
 		if end == shard.Broken {
 			o = belief.Broken
 		}
-		e.tracker.End(time.Now(), a, o, took)
+		record(o)
 	})
 }
 
--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -2,44 +2,40 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"bilberrymux/core/belief"
-	"bilberrymux/core/event"
 	"bilberrymux/core/ident"
 	"bilberrymux/io/news"
 )
 
-// crashLifetime is how long a crash is repeated in gossip messages.
+// crashLifetime is how long a crash, or a change of the quarantine, is repeated in gossip messages.
 const crashLifetime = time.Second
 
-// crashLog holds the recent crashes, which are repeated in gossip messages. It is safe for
+// recentLog holds recent items, which are repeated in gossip messages. It is safe for
 // concurrent use.
-type crashLog struct {
-	mu      sync.Mutex
-	crashes []news.Crash
-	times   []time.Time
+type recentLog[T any] struct {
+	mu    sync.Mutex
+	items []T
+	times []time.Time
 }
 
-// add appends a crash that was found at the given time.
-func (l *crashLog) add(now time.Time, c news.Crash) {
+// add appends an item that was found at the given time.
+func (l *recentLog[T]) add(now time.Time, item T) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.crashes, l.times = append(l.crashes, c), append(l.times, now)
+	l.items, l.times = append(l.items, item), append(l.times, now)
 }
 
-// recent removes the crashes older than crashLifetime and returns a copy of the others.
-func (l *crashLog) recent(now time.Time) []news.Crash {
+// recent removes the items older than crashLifetime and returns a copy of the others.
+func (l *recentLog[T]) recent(now time.Time) []T {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.times) > 0 && now.Sub(l.times[0]) > crashLifetime {
-		l.crashes, l.times = l.crashes[1:], l.times[1:]
+		l.items, l.times = l.items[1:], l.times[1:]
 	}
-	return append([]news.Crash(nil), l.crashes...)
+	return append([]T(nil), l.items...)
 }
 
 // crashCheckTimeout bounds the dial that checks whether a server crashed.
@@ -68,16 +64,13 @@
 	e.transport.Send(m, addresses(e.members.Gateways(gatewaysPerZone)))
 }
 
-// recordCrashes records crashes in the quarantine and logs each request that is quarantined
+// recordCrashes records crashes in the quarantine, logs each request that is quarantined
 // by them.
 func (e *Edge) recordCrashes(now time.Time, crashes []news.Crash) {
 	for _, c := range crashes {
-		found := e.quarantine.RecordCrash(now, c.Service, c.Server, []ident.Fingerprint{c.Fingerprint})
-		for _, q := range found {
+		for _, q := range e.quarantine.RecordCrash(now, c.Service, c.Server, []ident.Fingerprint{c.Fingerprint}) {
 			e.count("poison.quarantined")
-			e.log.WithFields(logrus.Fields{
-				"service": q.Service, "fingerprint": strconv.FormatUint(uint64(q.Fingerprint), 16), "servers": q.Servers,
-			}).Warn(event.Quarantined)
+			e.logQuarantine(now, q, "crash")
 		}
 	}
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -90,7 +90,8 @@
 	endCallers context.CancelCauseFunc
 	// gossipNow triggers a message to the zone before the end of the gossip period.
 	gossipNow chan struct{}
-	crashes   crashLog
+	// crashes holds the crashes of servers that this daemon found lately.
+	crashes recentLog[news.Crash]
 	// sharedRevisions holds the revisions of the server list before and after its last change,
 	// and the time of that change. Gossip messages contain the changes between the two. Only
 	// the gossip goroutine uses it.
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -68,7 +68,7 @@
 // forward sends a request to a server, with retries and hedged attempts, and returns the
 // response or a refusal.
 func (e *Edge) forward(ctx context.Context, k *call) (*serverReply, *refusal.Error) {
-	if e.quarantine.Blocked(time.Now(), k.service, k.fingerprint) {
+	if !e.quarantine.Admit(time.Now(), k.service, k.fingerprint) {
 		return nil, refusal.New(refusal.Poison, "")
 	}
 	e.budget.Deposit(time.Now(), k.service)
@@ -207,7 +207,7 @@
 // if no server can be picked, or the request must not run once more.
 func (r *forwardState) startAttempt(ctx context.Context) *belief.Attempt {
 	e, k := r.edge, r.call
-	if !r.log.MayStart() {
+	if !r.log.MayStart() || (len(r.tried) > 0 && e.quarantine.Blocked(time.Now(), k.service, k.fingerprint)) {
 		return nil
 	}
 	a := e.tracker.Pick(time.Now(), &belief.PickInfo{
--- a/io/gossip/convert.go
+++ b/io/gossip/convert.go
@@ -98,6 +98,6 @@
 	}
 	return poison.Entry{
 		Service: ident.ServiceID(p.GetService()), Fingerprint: ident.Fingerprint(p.GetFingerprint()),
-		Until: time.UnixMicro(p.GetUntilUnixMicros()), Servers: servers, Released: p.GetReleased(),
+		Until: time.UnixMicro(p.GetUntilUnixMicros()), Version: uint64(p.GetUntilUnixMicros()), Servers: servers, Released: p.GetReleased(),
 	}
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -249,7 +249,7 @@
 		g.options.Count("gossip.badConfig", 1)
 	}
 	for _, p := range msg.GetPoison() {
-		if e := fromPoison(p); g.options.Poison.Merge(e) {
+		if e := fromPoison(p); g.options.Poison.Merge(time.Now(), e) {
 			g.BroadcastPoison(e)
 		}
 	}
