--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -7,6 +7,7 @@
 
 	"bilberrymux/core/belief"
 	"bilberrymux/core/ident"
+	"bilberrymux/core/poison"
 	"bilberrymux/io/news"
 )
 
@@ -57,7 +58,9 @@
 	}
 	c := news.Crash{Service: k.service, Server: a.Server.ID, Fingerprint: k.fingerprint}
 	e.crashes.add(now, c)
-	e.recordCrashes(now, []news.Crash{c})
+	for _, q := range e.recordCrashes(now, []news.Crash{c}) {
+		e.storeQuarantined(q.Fingerprint)
+	}
 	e.triggerGossip()
 	m := e.message(now)
 	m.Relay = true
@@ -65,12 +68,15 @@
 }
 
 // recordCrashes records crashes in the quarantine, logs each request that is quarantined
-// by them.
-func (e *Edge) recordCrashes(now time.Time, crashes []news.Crash) {
+// by them, and returns their entries.
+func (e *Edge) recordCrashes(now time.Time, crashes []news.Crash) []poison.Entry {
+	var found []poison.Entry
 	for _, c := range crashes {
 		for _, q := range e.quarantine.RecordCrash(now, c.Service, c.Server, []ident.Fingerprint{c.Fingerprint}) {
 			e.count("poison.quarantined")
 			e.logQuarantine(now, q, "crash")
+			found = append(found, q)
 		}
 	}
+	return found
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -91,7 +91,8 @@
 	// gossipNow triggers a message to the zone before the end of the gossip period.
 	gossipNow chan struct{}
 	// crashes holds the crashes of servers that this daemon found lately.
-	crashes recentLog[news.Crash]
+	crashes        recentLog[news.Crash]
+	quarantineNews *quarantineNews
 	// sharedRevisions holds the revisions of the server list before and after its last change,
 	// and the time of that change. Gossip messages contain the changes between the two. Only
 	// the gossip goroutine uses it.
@@ -154,7 +155,7 @@
 	e := &Edge{
 		options: o, settings: s, metrics: meter.New(),
 		log:        o.Log.WithField("vm", s.VM),
-		quarantine: poison.New(), limits: ratelimit.New(), holdoffs: holdoff.New(), fetches: refresh.NewFetches(rand.Float64), replies: refresh.NewReplies(s.LinkMbps), catchUp: refresh.NewCatchUp(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
+		quarantine: poison.New(), quarantineNews: newQuarantineNews(time.Now()), limits: ratelimit.New(), holdoffs: holdoff.New(), fetches: refresh.NewFetches(rand.Float64), replies: refresh.NewReplies(s.LinkMbps), catchUp: refresh.NewCatchUp(), gossipNow: make(chan struct{}, 1), failed: make(chan error, 4),
 	}
 	e.callers, e.endCallers = context.WithCancelCause(context.Background())
 	e.requestBodies = bytebudget.New(int64(requestBodyShare * float64(s.MemoryMB) * (1 << 20)))
@@ -256,9 +257,9 @@
 }
 
 // ready reports whether callers can be served: the daemon is not stopping and knows a
-// configuration and a list of servers.
+// configuration, a list of servers and the quarantined requests.
 func (e *Edge) ready() bool {
-	return !e.stopping.Load() && e.watcher.Catalog().Version > 0 && !e.watcher.Roster().Revision.IsZero()
+	return !e.stopping.Load() && e.quarantineNews.isSettled(time.Now()) && e.watcher.Catalog().Version > 0 && !e.watcher.Roster().Revision.IsZero()
 }
 
 // nextRequestNumber returns the number of the next request of a route. The first number is 1.
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -114,7 +114,7 @@
 		return nil, refusal.New(refusal.BadRequest, "%v", err)
 	}
 	cat := s.edge.watcher.Catalog()
-	if cat.Version == 0 {
+	if cat.Version == 0 || !s.edge.quarantineNews.isSettled(now) {
 		return nil, refusal.New(refusal.NotReady, "")
 	}
 	header := &c.Request().Header
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -28,6 +28,10 @@
 	maxReports = 40
 	// maxLimitReports is the maximum number of servers whose limits are reported in one message.
 	maxLimitReports = 30
+	// quarantinedPerMessage and quarantinedPerCrossZoneMessage are the numbers of quarantined requests in one message,
+	// besides those that changed lately.
+	quarantinedPerMessage          = 1
+	quarantinedPerCrossZoneMessage = 4
 	// crossZonePeriod is the time between two messages with versions to the other zones, and
 	// gatewaysPerZone the number of daemons in each of those zones that receive them.
 	crossZonePeriod = time.Second
@@ -80,6 +84,7 @@
 	m.Changes = e.watcher.Changes(e.changesBase(now, m.ListVersion()))
 	m.Packed = e.watcher.ConfigPayload(now, changesLifetime)
 	m.Limits = e.limits.Reports(now, maxLimitReports)
+	e.setQuarantine(now, m, quarantinedPerMessage)
 	e.updateLimitShares(now)
 	e.transport.Send(m, addresses(e.members.Peers()))
 	e.updateReserves(now)
@@ -139,6 +144,7 @@
 	}
 	m := e.message(now)
 	m.Limits = e.limits.Reports(now, maxLimitReports)
+	e.setQuarantine(now, m, quarantinedPerCrossZoneMessage)
 	e.transport.Send(m, addresses(e.members.Gateways(gatewaysPerZone)))
 }
 
@@ -189,11 +195,12 @@
 	}
 	e.mergeLimits(now, m.From.VM, m.Limits)
 	e.recordCrashes(now, m.Crashes)
+	e.mergeQuarantine(now, m)
 	if m.Relay {
 		e.relay(m)
 	}
 	if m.Hello {
-		e.transport.Send(e.message(now), []string{m.From.PeerAddress})
+		e.transport.Send(e.helloReply(now), []string{m.From.PeerAddress})
 	}
 	if m.Changes != nil {
 		e.watcher.ApplyChanges(now, m.Changes, m.RevisionAgeMillis, m.From.VM)
--- a/io/edge/join.go
+++ b/io/edge/join.go
@@ -27,6 +27,7 @@
 // and the servers.
 func (e *Edge) join(ctx context.Context) {
 	e.sendHello(e.seedAddresses())
+	e.background.Go(func() { e.followQuarantine(ctx) })
 	e.background.Go(func() { e.watcher.FollowConfig(ctx) })
 	e.background.Go(func() { e.watcher.FollowServers(ctx) })
 	for ctx.Err() == nil {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -176,10 +176,19 @@
 	return msg
 }
 
+// maxPoisonPerMessage is the maximum number of quarantined requests in each message.
+const maxPoisonPerMessage = 64
+
 // newMessage returns a message with the fields that describe its sender: the VM, its configuration
-// version and the digest of its member table.
+// version and the digest of its member table, and the quarantined requests, which a daemon that has started doesn't know.
 func (g *Gossip) newMessage() *peerpb.News {
+	entries := g.options.Poison.Entries(time.Now())
+	var quarantined []*peerpb.PoisonEntry
+	for i := range entries[:min(len(entries), maxPoisonPerMessage)] {
+		quarantined = append(quarantined, toPoison(&entries[i]))
+	}
 	return &peerpb.News{
+		Poison:        quarantined,
 		From:          string(g.options.Members.Self().VM),
 		ConfigVersion: uint64(g.options.Versions.Current().Version),
 		MemberDigest:  g.options.Members.View().Digest(),
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -27,6 +27,13 @@
 	return gossip.New(gossip.Options{Members: members, Versions: replica, Poison: poison.New()}), members, replica
 }
 
+// newGossipWithPoison returns a gossip with its quarantine.
+func newGossipWithPoison() (*gossip.Gossip, *poison.Quarantine) {
+	members := member.New(member.Entry{VM: "vm-1", Incarnation: "vm-1~1", Region: "r", State: member.Live}, nil)
+	quarantine := poison.New()
+	return gossip.New(gossip.Options{Members: members, Versions: versions.New(table.New(1).Store(), nil), Poison: quarantine}), quarantine
+}
+
 // FuzzNews sends arbitrary messages to a daemon. No message may change the daemon's own entry to
 // down or to another incarnation, or decrease the configuration version.
 func FuzzNews(f *testing.F) {
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -51,6 +51,10 @@
 	// Packed is a packed Payload, or empty.
 	Packed []byte    `cbor:"14,keyasint,omitempty"`
 	Era    ident.Era `cbor:"15,keyasint,omitempty"`
+	// Quarantined holds quarantined requests.
+	Quarantined []Quarantined `cbor:"16,keyasint,omitempty"`
+	// QuarantineKnown reports that the sender has learned of the quarantined requests since it started.
+	QuarantineKnown bool `cbor:"17,keyasint,omitempty"`
 }
 
 // ListVersion returns the store version of the sender's list of servers. It has no era if the sender is of a build that
@@ -98,6 +102,17 @@
 	Fingerprint ident.Fingerprint `cbor:"3,keyasint"`
 }
 
+// Quarantined is a request that crashed servers, as in poison.Entry.
+type Quarantined struct {
+	Service     ident.ServiceID   `cbor:"1,keyasint"`
+	Fingerprint ident.Fingerprint `cbor:"2,keyasint"`
+	Version     uint64            `cbor:"3,keyasint"`
+	// LeftMillis is the time in milliseconds until the quarantine ends. It is negative afterwards.
+	LeftMillis int64            `cbor:"4,keyasint"`
+	Servers    []ident.ServerID `cbor:"5,keyasint,omitempty"`
+	Released   bool             `cbor:"6,keyasint,omitempty"`
+}
+
 // StateRequest asks a peer for data that is newer than the sender's.
 type StateRequest struct {
 	// Version is the version of the sender's configuration, and Revision the
--- a/io/standin/gridfleet/quarantine_test.go
+++ b/io/standin/gridfleet/quarantine_test.go
@@ -9,8 +9,12 @@
 
 	"bilberrymux/core/ident"
 	"bilberrymux/io/standin/gridserver"
+	"bilberrymux/io/standin/rowstore"
 )
 
+// newsOfCrash is longer than daemons tell each other of a crash.
+const newsOfCrash = 1500 * time.Millisecond
+
 // sendPoison sends a request that crashes the servers whose fault is gridserver.Crash.
 func sendPoison(d *Daemon) response { return send(d, http.MethodPost, bookHost, "/b/poison", "kills") }
 
@@ -34,6 +38,68 @@
 	return f, servers
 }
 
+// TestStartedDaemonsKnowRequestsThatCrashServers guards against a request that crashes two servers more after each restart of
+// a daemon, whoever is left that knows it: the peers, the store, or the store after a return from an older copy.
+func TestStartedDaemonsKnowRequestsThatCrashServers(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// store and all report whether the daemon can reach the store when it starts, and whether all daemons start.
+		store, all bool
+		// restored reports whether the store came back from an older copy before.
+		restored bool
+	}{{"peers", false, false, false}, {"store", true, true, false}, {"both", true, false, false}, {"restored store", true, true, true}} {
+		t.Run(test.name, func(t *testing.T) {
+			var saved rowstore.Copy
+			f, servers := start(t, Options{})
+			saved = f.Store.Copy()
+			for _, id := range []string{"booker-1", "booker-2"} {
+				servers[id].SetFault(gridserver.Crash)
+			}
+			eventually(t, "the request is quarantined", func() bool { return isPoison(sendPoison(f.Daemons[0])) })
+			eventually(t, "all daemons and the store know it", func() bool {
+				return isPoison(sendPoison(f.Daemons[1])) && f.Store.Count("quarantine") > 0
+			})
+			if test.restored {
+				f.Store.Restore(saved)
+				eventually(t, "the store knows it again", func() bool { return f.Store.Count("quarantine") > 0 })
+			}
+			for _, id := range []string{"booker-1", "booker-2"} {
+				if err := f.RestartServer(id, 0, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			// Daemons no longer repeat the news of the crashes.
+			time.Sleep(newsOfCrash)
+			before := servers["booker-1"].Arrivals() + servers["booker-2"].Arrivals()
+			if !test.store {
+				f.Store.SetFaults(rowstore.Faults{Down: rowstore.Refuse})
+			}
+			if test.all {
+				f.Daemons[0].Edge.Kill()
+			}
+			f.Daemons[1].Edge.Kill()
+			for n := range 2 {
+				if n == 0 && !test.all {
+					continue
+				}
+				d, err := f.StartDaemon(0, n)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for end := time.Now().Add(eventuallyTimeout); !isReady(d) && time.Now().Before(end); {
+					sendPoison(d)
+				}
+				if r := sendPoison(d); !isPoison(r) {
+					t.Errorf("daemon %d: got %+v, want a refusal as poison", n, r)
+				}
+			}
+			if got := servers["booker-1"].Arrivals() + servers["booker-2"].Arrivals() - before; got > 0 {
+				t.Errorf("requests that reached servers after the restart: got %d, want none", got)
+			}
+		})
+	}
+}
+
 // TestMovedRouteKeepsRequestsThatCrashServersAway guards against a request that crashes two servers of each service to which its
 // route moves.
 func TestMovedRouteKeepsRequestsThatCrashServersAway(t *testing.T) {
--- a/io/standin/rowstore/drill.go
+++ b/io/standin/rowstore/drill.go
@@ -57,3 +57,16 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// Count returns the number of rows of a table.
+func (s *Server) Count(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k := range s.rows {
+		if k.table == table {
+			n++
+		}
+	}
+	return n
+}
