--- a/core/belief/belief_test.go
+++ b/core/belief/belief_test.go
@@ -181,7 +181,7 @@
 	}
 	s.roster = roster.New(ident.StoreVersion{Number: 1}, servers)
 	s.tracker.Sync(s.now, s.roster)
-	s.limits.Sync(s.roster)
+	s.limits.Sync(s.now, s.roster)
 }
 
 func (s *script) pick(w []string) bool {
--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -77,7 +77,7 @@
 			limits: New(), group: 1, lastHeard: map[int]time.Time{},
 			gossipAt: f.start.Add(time.Duration(f.random.Int64N(int64(gossipPeriod)))),
 		}
-		d.limits.Sync(roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}))
+		d.limits.Sync(f.start, roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}))
 		f.daemons = append(f.daemons, d)
 	}
 	for i, d := range f.daemons {
@@ -238,7 +238,7 @@
 	if learn(true, 2, 0) {
 		t.Error("the statement of an unlisted server was recorded")
 	}
-	l.Sync(roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}))
+	l.Sync(now, roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}))
 	if learn(false, 0, 0) || len(l.Reports(now, 9)) > 0 {
 		t.Error("a server without a limit was recorded")
 	}
@@ -266,7 +266,7 @@
 	if reports := l.Reports(now.Add(time.Minute), 9); len(reports) != 0 {
 		t.Errorf("reports a minute after the end of the limit: got %+v, want none", reports)
 	}
-	l.Sync(roster.New(ident.StoreVersion{Number: 2}, nil))
+	l.Sync(now, roster.New(ident.StoreVersion{Number: 2}, nil))
 	if !l.Allows(now, key) || l.Count() != 0 {
 		t.Error("a server that has left still has a limit")
 	}
@@ -278,7 +278,7 @@
 	for n := range 200 {
 		servers = append(servers, roster.Server{ID: ident.ServerID(strconv.Itoa(n))})
 	}
-	l.Sync(roster.New(ident.StoreVersion{Number: 1}, servers))
+	l.Sync(now, roster.New(ident.StoreVersion{Number: 1}, servers))
 	for i := range servers {
 		l.Learn(now, servers[i].Key(), Statement{Limited: true, PerSecond: 1, At: now})
 	}
@@ -299,7 +299,7 @@
 
 func TestInvalidReportsAreIgnored(t *testing.T) {
 	l, now := New(), time.Unix(1000, 0)
-	l.Sync(roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}))
+	l.Sync(now, roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}))
 	zero := 0.0
 	for _, perSecond := range []float64{-1, zero / zero, 1 / zero, -1 / zero} {
 		if l.Merge(now, Report{ID: "s", Limited: true, PerSecond: perSecond}) || l.Count() != 0 {
@@ -338,7 +338,7 @@
 	now := time.Unix(1000, 0)
 	daemons := []*Limits{New(), New()}
 	for _, l := range daemons {
-		l.Sync(roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}))
+		l.Sync(now, roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}))
 	}
 	daemons[0].Learn(now, limitedServer.Key(), Statement{Limited: true, PerSecond: 1, At: now})
 	const transit = 300 * time.Microsecond
@@ -353,3 +353,41 @@
 		}
 	}
 }
+
+// TestLimitOutlastsLapse guards against a server that gets as many requests as one without a limit since its row lapsed while
+// the store was down, and is back unchanged.
+func TestLimitOutlastsLapse(t *testing.T) {
+	l, now := New(), time.Unix(1000, 0)
+	key := limitedServer.Key()
+	listed, empty := roster.New(ident.StoreVersion{Number: 1}, []roster.Server{limitedServer}), roster.New(ident.StoreVersion{Number: 2}, nil)
+	l.Sync(now, listed)
+	l.Learn(now, key, Statement{Limited: true, PerSecond: 1, At: now})
+	l.Sync(now, empty)
+	if l.Count() != 0 {
+		t.Error("a server that is not listed counts as limited")
+	}
+	now = now.Add(retention)
+	// What peers tell meanwhile counts as well.
+	l.Learn(now, key, Statement{Limited: true, PerSecond: 2, At: now})
+	l.Sync(now, listed)
+	if l.Count() != 1 || l.Allows(now, key) {
+		t.Error("the limit was forgotten")
+	}
+	l.SetShares(now, func(_ roster.Key, perSecond float64) float64 {
+		if perSecond != 2 {
+			t.Errorf("limit: got %v, want 2", perSecond)
+		}
+		return 1
+	})
+	l.Sync(now, empty)
+	l.Sync(now.Add(retention+time.Second), empty)
+	if len(l.servers) != 0 {
+		t.Error("a server that has left is kept for ever")
+	}
+	again := limitedServer
+	again.StartMillis++
+	l.Sync(now, roster.New(ident.StoreVersion{Number: 3}, []roster.Server{again}))
+	if !l.Allows(now, again.Key()) {
+		t.Error("a new start of the server has the limit of the one before")
+	}
+}
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -49,6 +49,9 @@
 	withdrawnReportTime = 5 * time.Second
 	// transitTime is the time that is assumed for a message to another daemon.
 	transitTime = time.Millisecond
+	// retention is how long the statement of a server is kept that is not listed any more. Its row may lapse for a while
+	// although the server goes on.
+	retention = 10 * time.Minute
 	// noticedChange is the relative change of a limit from which it counts as changed.
 	noticedChange = 0.1
 )
@@ -63,6 +66,8 @@
 	refilledAt time.Time
 	// noticedRate is the limit when it last counted as changed.
 	noticedRate float64
+	// unlistedSince is the time since which the server is not listed. It is zero while it is.
+	unlistedSince time.Time
 }
 
 // Limits holds the limits that servers have named. It is safe for concurrent use.
@@ -70,7 +75,7 @@
 	mu      sync.Mutex
 	listed  map[roster.Key]bool
 	servers map[roster.Key]*server
-	// count is the number of servers with a limit.
+	// count is the number of servers with a limit, listed or not.
 	count atomic.Int64
 }
 
@@ -79,16 +84,22 @@
 	return &Limits{listed: map[roster.Key]bool{}, servers: map[roster.Key]*server{}}
 }
 
-// Sync forgets the servers that are not listed. Statements of unlisted servers are ignored.
-func (l *Limits) Sync(r *roster.Roster) {
+// Sync records which servers are listed, and forgets those that have not been for a long time. Statements of unlisted servers
+// are ignored unless the server has named a limit while it was listed.
+func (l *Limits) Sync(now time.Time, r *roster.Roster) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.listed = make(map[roster.Key]bool, len(r.Servers()))
 	for i := range r.Servers() {
 		l.listed[r.Servers()[i].Key()] = true
 	}
-	for key := range l.servers {
-		if !l.listed[key] {
+	for key, s := range l.servers {
+		switch {
+		case l.listed[key]:
+			s.unlistedSince = time.Time{}
+		case s.unlistedSince.IsZero():
+			s.unlistedSince = now
+		case now.Sub(s.unlistedSince) > retention:
 			delete(l.servers, key)
 		}
 	}
@@ -103,7 +114,7 @@
 	known := l.servers[key]
 	valid := s.PerSecond >= 0 && !math.IsInf(s.PerSecond, 0)
 	switch {
-	case !valid || !l.listed[key] || (known == nil && !s.Limited):
+	case !valid || (known == nil && (!s.Limited || !l.listed[key])):
 		return false
 	case known == nil:
 		known = &server{refilledAt: now}
@@ -237,7 +248,18 @@
 	})
 }
 
-// Count returns the number of servers with a limit.
+// Count returns the number of listed servers with a limit.
 func (l *Limits) Count() int {
-	return int(l.count.Load())
+	if l.count.Load() == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, s := range l.servers {
+		if s.Limited && s.unlistedSince.IsZero() {
+			n++
+		}
+	}
+	return n
 }
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -232,7 +232,7 @@
 // addresses that are no longer listed.
 func (e *Edge) rosterChanged(now time.Time, r, before *roster.Roster) {
 	e.tracker.Sync(now, r)
-	e.limits.Sync(r)
+	e.limits.Sync(now, r)
 	e.holdoffs.Sync(now, r)
 	e.invalidLoggedAt.Range(func(id, _ any) bool {
 		if r.Find(id.(ident.ServerID)) == nil {
