--- a/internal/headcases/headcases.go
+++ b/internal/headcases/headcases.go
@@ -47,6 +47,11 @@
 	return c
 }
 
+// IsOrdinary reports whether the case with a name is one of Cases.Ordinary.
+func IsOrdinary(name string) bool {
+	return slices.ContainsFunc(Load().Ordinary, func(c Case) bool { return c.Name == name })
+}
+
 // Find returns the case with a name, and whether there is one.
 func Find(name string) (c Case, ok bool) {
 	cases := Load()
--- a/io/standin/backendserver/server.go
+++ b/io/standin/backendserver/server.go
@@ -252,7 +252,7 @@
 }
 
 // writeHeadCase writes a response of internal/headcases with the body and the IDs of the current response, and closes the
-// connection.
+// connection. A response that is well-formed and doesn't end with its connection says so.
 func writeHeadCase(ctx *fasthttp.RequestCtx, name string) {
 	c, ok := headcases.Find(name)
 	if !ok {
@@ -261,6 +261,9 @@
 	}
 	fields := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", backend.AttemptIDHeader, ctx.Request.Header.Peek(backend.AttemptIDHeader),
 		TestIDHeader, ctx.Request.Header.Peek(TestIDHeader))
+	if !c.Closes && headcases.IsOrdinary(name) {
+		fields += "Connection: close\r\n"
+	}
 	text := c.Expand(fields, string(ctx.Response.Body()))
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(conn net.Conn) {
--- a/io/standin/gridfleet/heads_test.go
+++ b/io/standin/gridfleet/heads_test.go
@@ -27,7 +27,8 @@
 	}
 }
 
-// TestUnusualHeadsReachCallers checks that responses which are well-formed are passed on.
+// TestUnusualHeadsReachCallers checks that responses which are well-formed are passed on, and that their connections can be
+// used again.
 func TestUnusualHeadsReachCallers(t *testing.T) {
 	f, servers := start(t, Options{DaemonsPerZone: 1})
 	for _, fault := range gridserver.OrdinaryHeads() {
@@ -35,9 +36,11 @@
 			for _, s := range servers {
 				s.SetFault(fault)
 			}
-			r := sendBooking(f.Daemons[0])
-			if status := r.Status; r.Err != nil || status < 200 || status > 299 || r.Body == "" || r.Header.Get("Bilberrymux-Response-Signature") != "s."+r.ID {
-				t.Errorf("got %+v, want the signed response of the server", r)
+			for range 2 {
+				r := sendBooking(f.Daemons[0])
+				if status := r.Status; r.Err != nil || status < 200 || status > 299 || r.Body == "" || r.Header.Get("Bilberrymux-Response-Signature") != "s."+r.ID {
+					t.Errorf("got %+v, want the signed response of the server", r)
+				}
 			}
 		})
 	}
--- a/io/standin/gridserver/gridserver.go
+++ b/io/standin/gridserver/gridserver.go
@@ -382,9 +382,12 @@
 func (s *Server) respond(c net.Conn, id string, fault Fault) bool {
 	signature := "Bilberrymux-Response-Signature: s." + id + "\r\n"
 	body := "answer of " + s.ID() + " to " + id
-	if writeContradiction(c, id, body, fault) || writeHeadCase(c, "Bilberrymux-Request-Id: "+id+"\r\n"+signature, body, fault) {
+	if writeContradiction(c, id, body, fault) {
 		return false
 	}
+	if written, staysOpen := writeHeadCase(c, "Bilberrymux-Request-Id: "+id+"\r\n"+signature, body, fault); written {
+		return staysOpen
+	}
 	switch fault {
 	case ResetAfterRun:
 		resetConn(c)
--- a/io/standin/gridserver/heads.go
+++ b/io/standin/gridserver/heads.go
@@ -36,18 +36,18 @@
 	return out
 }
 
-// writeHeadCase writes the response of a fault, if that is one of MalformedHeads or OrdinaryHeads, after which the
-// connection ends.
-func writeHeadCase(conn net.Conn, fields, body string, fault Fault) (written bool) {
+// writeHeadCase writes the response of a fault, if that is one of MalformedHeads or OrdinaryHeads. staysOpen reports whether
+// the connection can carry another request afterwards, so that it must not end without notice.
+func writeHeadCase(conn net.Conn, fields, body string, fault Fault) (written, staysOpen bool) {
 	name, malformed := strings.CutPrefix(string(fault), malformedHead)
 	if malformed {
 		body = "malformed " + body
 	} else if name, written = strings.CutPrefix(string(fault), ordinaryHead); !written {
-		return false
+		return false, false
 	}
 	c, ok := headcases.Find(name)
 	if ok {
 		_, _ = io.WriteString(conn, c.Expand(fields, body)) // a client that has left needs no response
 	}
-	return ok
+	return ok, ok && !malformed && !c.Closes
 }
