Crashes count once by the run of the server; news and rows of many crashes are bounded

Now the run (server and born, a new field of news.Crash) tells; a peer that knows an entry only counts no crash of its servers for 2 s. TestOneCrashIsReportedOnce is extended; the late reports failed with the time window.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -34,8 +34,11 @@
 	maxEntries  = 10_000
 	// quarantineThreshold is the number of crashes while a fingerprint was running from which on it is quarantined.
 	quarantineThreshold = 2
-	// sameCrashWindow is the time within which reports of a server's crash are of the same one.
+	// sameCrashWindow is the time within which a report of a server's crash may be of one that is known from another
+	// daemon's entry, which names only the server.
 	sameCrashWindow = 2 * time.Second
+	// maxCrashes is the number of crashes of a fingerprint by which repeated reports are recognized.
+	maxCrashes = 16
 	// trialInterval is the time between two requests with a fingerprint whose quarantine has ended, until one of
 	// them is answered.
 	trialInterval = 3 * time.Second
@@ -68,18 +71,27 @@
 	Released bool `json:"released,omitempty"`
 }
 
+// Run identifies one run of a backend server of a service.
+type Run struct {
+	Service ident.ServiceID
+	Server  ident.ServerID
+	// StartMillis is the start time of the run in Unix milliseconds. It is 0 if it isn't known; then a server counts once.
+	StartMillis int64
+}
+
 // crash is a crash of a server while it ran a fingerprint.
 type crash struct {
-	service ident.ServiceID
-	server  ident.ServerID
-	at      time.Time
+	Run
+	at time.Time
+	// fromEntry reports that the crash is known from the entry of another daemon, which names no start.
+	fromEntry bool
 }
 
 // quarantined is an entry with what this daemon alone knows of it.
 type quarantined struct {
 	Entry
-	// lastCrash is the last known crash.
-	lastCrash crash
+	// crashes holds the last known crashes.
+	crashes []crash
 	// trialAt is the time of the last request that was let through after the quarantine.
 	trialAt time.Time
 	// answeredBy holds the services whose servers have answered the fingerprint since its last crash, although other ones
@@ -139,16 +151,16 @@
 	return true
 }
 
-// RecordCrash records that a server crashed while it ran the given fingerprints. It
+// RecordCrash records that a run of a server ended in a crash while it ran the given fingerprints. It
 // returns the entries of those that this crash puts into quarantine. Fingerprints that the service has
-// answered lately are not suspected.
-func (q *Quarantine) RecordCrash(now time.Time, service ident.ServiceID, server ident.ServerID, running []ident.Fingerprint) []Entry {
+// answered lately are not suspected, and reports of one crash count once.
+func (q *Quarantine) RecordCrash(now time.Time, run Run, running []ident.Fingerprint) []Entry {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var found []Entry
-	c := crash{service, server, now}
+	c := crash{Run: run, at: now}
 	for _, f := range running {
-		if q.completions.recent(now, service, f) {
+		if q.completions.recent(now, run.Service, f) {
 			continue
 		}
 		if e := q.recordCrash(c, f); e != nil {
@@ -161,23 +173,25 @@
 // recordCrash records a crash for one fingerprint, and returns the entry if the fingerprint is quarantined by it.
 func (q *Quarantine) recordCrash(c crash, f ident.Fingerprint) *Entry {
 	old, had := q.quarantined[f]
-	if had && c.isSame(old.lastCrash) {
+	if had && slices.ContainsFunc(old.crashes, c.isSame) {
 		return nil
 	}
-	servers := []ident.ServerID{}
+	e := &quarantined{Entry: Entry{Service: c.Service, Fingerprint: f}}
 	if had && !old.Released {
-		servers = append(slices.Clone(old.Servers), c.server)
+		e.Servers = append(slices.Clone(old.Servers), c.Server)
+		e.crashes = append(slices.Clone(old.crashes), c)
 	} else {
-		crashes := q.addSuspect(c, f)
-		if len(crashes) < quarantineThreshold {
+		e.crashes = q.addSuspect(c, f)
+		if len(e.crashes) < quarantineThreshold {
 			return nil
 		}
-		for _, c := range crashes {
-			servers = append(servers, c.server)
+		for _, c := range e.crashes {
+			e.Servers = append(e.Servers, c.Server)
 		}
 		delete(q.suspects, f)
 	}
-	e := &quarantined{lastCrash: c, Entry: Entry{Service: c.service, Fingerprint: f, Until: c.at.Add(duration(len(servers))), Servers: servers}}
+	e.crashes = e.crashes[max(0, len(e.crashes)-maxCrashes):]
+	e.Until = c.at.Add(duration(len(e.Servers)))
 	if had && !e.Until.After(old.Until) {
 		e.Until = old.Until.Add(time.Millisecond)
 	}
@@ -194,7 +208,10 @@
 
 // isSame reports whether two reports are of the same crash.
 func (c crash) isSame(other crash) bool {
-	return c.service == other.service && c.server == other.server && c.at.Sub(other.at) < sameCrashWindow
+	if other.fromEntry {
+		return c.Server == other.Server && c.at.Sub(other.at) < sameCrashWindow
+	}
+	return c.Run == other.Run
 }
 
 // addSuspect adds a crash to those of a suspect, and returns them all. When maxSuspects is reached it first deletes the
@@ -239,7 +256,7 @@
 	defer q.mu.Unlock()
 	q.completions.add(now, service, f)
 	if crashes, suspected := q.suspects[f]; suspected {
-		crashes = slices.DeleteFunc(crashes, func(c crash) bool { return c.service == service })
+		crashes = slices.DeleteFunc(crashes, func(c crash) bool { return c.Service == service })
 		q.suspects[f] = crashes
 		if len(crashes) == 0 {
 			delete(q.suspects, f)
@@ -269,10 +286,14 @@
 	if had && (old.Version > e.Version || old.Version == e.Version && (old.Released || !e.Released)) {
 		return false
 	}
-	merged := &quarantined{Entry: e}
-	if len(e.Servers) > 0 {
-		merged.lastCrash = crash{e.Service, e.Servers[len(e.Servers)-1], now}
+	merged := &quarantined{Entry: e, crashes: slices.Clone(q.suspects[e.Fingerprint])}
+	if had {
+		merged.crashes = slices.Clone(old.crashes)
+	}
+	for _, server := range e.Servers {
+		merged.crashes = append(merged.crashes, crash{Run: Run{Service: e.Service, Server: server}, at: now, fromEntry: true})
 	}
+	merged.crashes = merged.crashes[max(0, len(merged.crashes)-maxCrashes):]
 	delete(q.suspects, e.Fingerprint)
 	q.store(now, merged)
 	return true
@@ -307,8 +328,7 @@
 
 // Suspect is a crash of a server while it ran a fingerprint that is not quarantined.
 type Suspect struct {
-	Service     ident.ServiceID
-	Server      ident.ServerID
+	Run         Run
 	Fingerprint ident.Fingerprint
 }
 
@@ -320,7 +340,7 @@
 	for f, crashes := range q.suspects {
 		for _, c := range crashes {
 			if len(out) < limit && now.Sub(c.at) <= suspectTTL {
-				out = append(out, Suspect{c.service, c.server, f})
+				out = append(out, Suspect{c.Run, f})
 			}
 		}
 	}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -14,7 +14,12 @@
 
 // crashAt records a crash of a server that was running page.
 func crashAt(q *Quarantine, now time.Time, service ident.ServiceID, server ident.ServerID) []Entry {
-	return q.RecordCrash(now, service, server, []ident.Fingerprint{page})
+	return crashOf(q, now, Run{Service: service, Server: server, StartMillis: now.UnixMilli()})
+}
+
+// crashOf records a crash of a run that was running page.
+func crashOf(q *Quarantine, now time.Time, run Run) []Entry {
+	return q.RecordCrash(now, run, []ident.Fingerprint{page})
 }
 
 // start is the time at which the tests begin.
@@ -44,7 +49,7 @@
 	q, now := New(), start
 	crashAt(q, now, "s", "0")
 	for n, want := range durations {
-		now = now.Add(sameCrashWindow)
+		now = now.Add(time.Second)
 		// The server that crashed is back.
 		if len(crashAt(q, now, "s", "1")) != 1 {
 			t.Fatalf("crash %d: not quarantined", n+2)
@@ -63,19 +68,36 @@
 	}
 }
 
-// TestOneCrashIsReportedOnce guards against a quarantine by several reports of one crash.
+// TestOneCrashIsReportedOnce guards against a quarantine, or a longer one, by several reports of one crash, which may come late:
+// of a daemon that was frozen, or after the next crash.
 func TestOneCrashIsReportedOnce(t *testing.T) {
 	q := New()
+	first, second := Run{"s", "1", 5}, Run{"s", "2", 5}
 	for i := range 4 {
-		if found := crashAt(q, start.Add(time.Duration(i)*300*time.Millisecond), "s", "1"); len(found) > 0 {
+		if found := crashOf(q, start.Add(time.Duration(i)*3*time.Second), first); len(found) > 0 {
 			t.Fatalf("report %d of a crash: got %+v, want nothing", i+1, found)
 		}
 	}
-	if len(crashAt(q, start.Add(time.Second), "s", "2")) != 1 {
+	found := crashOf(q, start.Add(10*time.Second), second)
+	if len(found) != 1 {
 		t.Fatal("crash of a second server: not quarantined")
 	}
-	if found := crashAt(q, start.Add(1200*time.Millisecond), "s", "2"); len(found) > 0 {
-		t.Errorf("second report of the crash: got %+v, want nothing", found)
+	peer := New()
+	peer.Merge(start.Add(10*time.Second), found[0])
+	for _, late := range []time.Duration{10 * time.Second, 11 * time.Second} {
+		for _, run := range []Run{first, second} {
+			if found := crashOf(q, start.Add(late), run); len(found) > 0 {
+				t.Errorf("report of run %v after the quarantine: got %+v, want nothing", run, found)
+			}
+		}
+		for _, run := range []Run{first, second} {
+			if found := crashOf(peer, start.Add(late), run); len(found) > 0 {
+				t.Errorf("report of run %v to a peer that has the entry: got %+v, want nothing", run, found)
+			}
+		}
+	}
+	if found := crashOf(q, start.Add(12*time.Second), Run{"s", "2", 6}); len(found) != 1 {
+		t.Error("crash of the next run of a server: not counted")
 	}
 }
 
@@ -159,7 +181,7 @@
 	q := New()
 	for f := range ident.Fingerprint(3 * maxEntries) {
 		for n := range 1 + int(f%2) {
-			q.RecordCrash(start, "s", ident.ServerID(fmt.Sprint(n)), []ident.Fingerprint{f})
+			q.RecordCrash(start, Run{Service: "s", Server: ident.ServerID(fmt.Sprint(n))}, []ident.Fingerprint{f})
 		}
 	}
 	if len(q.suspects) > maxSuspects || len(q.quarantined) > maxEntries {
--- a/core/shard/finish.go
+++ b/core/shard/finish.go
@@ -7,6 +7,7 @@
 	"bilberrymux/core/admit"
 	"bilberrymux/core/detect"
 	"bilberrymux/core/ident"
+	"bilberrymux/core/poison"
 	"bilberrymux/core/pool"
 )
 
@@ -268,7 +269,7 @@
 		return
 	}
 	s.options.Count("evidence.crash")
-	for _, e := range s.options.Poison.RecordCrash(now, s.options.ID.Service, m.ID, running) {
+	for _, e := range s.options.Poison.RecordCrash(now, poison.Run{Service: s.options.ID.Service, Server: m.ID}, running) {
 		s.options.Count("poison.quarantined")
 		s.options.Quarantined(e)
 		s.clearEvidence(now, e.Servers)
--- a/io/edge/crash.go
+++ b/io/edge/crash.go
@@ -29,14 +29,15 @@
 	l.items, l.times = append(l.items, item), append(l.times, now)
 }
 
-// recent removes the items older than crashLifetime and returns a copy of the others.
-func (l *recentLog[T]) recent(now time.Time) []T {
+// recent removes the items older than crashLifetime and returns a copy of the others, at most limit of them, the
+// newest.
+func (l *recentLog[T]) recent(now time.Time, limit int) []T {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.times) > 0 && now.Sub(l.times[0]) > crashLifetime {
 		l.items, l.times = l.items[1:], l.times[1:]
 	}
-	return append([]T(nil), l.items...)
+	return append([]T(nil), l.items[max(0, len(l.items)-limit):]...)
 }
 
 // crashCheckTimeout bounds the dial that checks whether a server crashed.
@@ -56,7 +57,7 @@
 		e.count("crashes.unsure")
 		return
 	}
-	c := news.Crash{Service: k.service, Server: a.Server.ID, Fingerprint: k.fingerprint}
+	c := news.Crash{Service: k.service, Server: a.Server.ID, StartMillis: a.Server.StartMillis, Fingerprint: k.fingerprint}
 	e.crashes.add(now, c)
 	for _, q := range e.recordCrashes(now, []news.Crash{c}) {
 		e.storeQuarantined(q.Fingerprint)
@@ -72,7 +73,8 @@
 func (e *Edge) recordCrashes(now time.Time, crashes []news.Crash) []poison.Entry {
 	var found []poison.Entry
 	for _, c := range crashes {
-		for _, q := range e.quarantine.RecordCrash(now, c.Service, c.Server, []ident.Fingerprint{c.Fingerprint}) {
+		run := poison.Run{Service: c.Service, Server: c.Server, StartMillis: c.StartMillis}
+		for _, q := range e.quarantine.RecordCrash(now, run, []ident.Fingerprint{c.Fingerprint}) {
 			e.count("poison.quarantined")
 			e.logQuarantine(now, q, "crash")
 			found = append(found, q)
--- a/io/edge/gossip.go
+++ b/io/edge/gossip.go
@@ -28,6 +28,9 @@
 	maxReports = 40
 	// maxLimitReports is the maximum number of servers whose limits are reported in one message.
 	maxLimitReports = 30
+	// maxCrashes is the maximum number of crashes, and maxQuarantineChanges that of changes of the quarantine, in one message.
+	maxCrashes           = 40
+	maxQuarantineChanges = 12
 	// quarantinedPerMessage and quarantinedPerCrossZoneMessage are the numbers of quarantined requests in one message,
 	// besides those that changed lately.
 	quarantinedPerMessage          = 1
@@ -47,7 +50,7 @@
 // message returns a message with the state of this daemon.
 func (e *Edge) message(now time.Time) *news.Message {
 	e.members.SetReady(e.ready())
-	m := &news.Message{From: e.members.Self(), Stopping: e.stopping.Load(), Crashes: e.crashes.recent(now)}
+	m := &news.Message{From: e.members.Self(), Stopping: e.stopping.Load(), Crashes: e.crashes.recent(now, maxCrashes)}
 	e.watcher.SetVersions(now, m)
 	return m
 }
--- a/io/edge/quarantine.go
+++ b/io/edge/quarantine.go
@@ -1,10 +1,10 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -36,6 +36,9 @@
 	// quarantineWriterKey is the key for the rank of the daemons of a zone. The daemon with rank 0 writes all rows again
 	// when the store has come back from an older copy.
 	quarantineWriterKey = "quarantineWriter"
+	// maxQuarantineWrites is the maximum number of rows that a daemon writes each quarantinePeriod, so that crashes of many
+	// servers at once don't use up the store's rate of writes.
+	maxQuarantineWrites = 2
 )
 
 // quarantineNews is what this daemon shares of its quarantine. It is safe for concurrent use.
@@ -90,7 +93,7 @@
 // setQuarantine adds to a message the entries that changed lately, and up to limit others in turn.
 func (e *Edge) setQuarantine(now time.Time, m *news.Message, limit int) {
 	m.QuarantineKnown = e.quarantineNews.known.Load()
-	entries := e.quarantineNews.changes.recent(now)
+	entries := e.quarantineNews.changes.recent(now, maxQuarantineChanges)
 	all := e.quarantine.Entries(now)
 	n := e.quarantineNews
 	n.mu.Lock()
@@ -113,7 +116,7 @@
 	m := e.message(now)
 	e.setQuarantine(now, m, maxQuarantinedPerHello)
 	for _, s := range e.quarantine.Suspects(now, maxQuarantinedPerHello) {
-		m.Crashes = append(m.Crashes, news.Crash{Service: s.Service, Server: s.Server, Fingerprint: s.Fingerprint})
+		m.Crashes = append(m.Crashes, news.Crash{Service: s.Run.Service, Server: s.Run.Server, StartMillis: s.Run.StartMillis, Fingerprint: s.Fingerprint})
 	}
 	return m
 }
@@ -248,32 +251,44 @@
 	}
 }
 
-// writeQuarantine writes the rows that must be written. Those that could not be written are kept.
+// writeQuarantine writes rows that must be written, those with the most crashes first. Those that could not be written are
+// kept.
 func (e *Edge) writeQuarantine(ctx context.Context) {
-	n := e.quarantineNews
-	n.mu.Lock()
-	unwritten := slices.Sorted(maps.Keys(n.unwritten))
-	n.mu.Unlock()
-	if len(unwritten) == 0 {
+	now := time.Now()
+	entries := e.unwrittenEntries(now)
+	if len(entries) == 0 {
 		return
 	}
-	now := time.Now()
 	clock, isKnown := e.store.Clock(now)
 	if !isKnown {
 		return
 	}
-	entries := map[ident.Fingerprint]poison.Entry{}
-	for _, q := range e.quarantine.Entries(now) {
-		entries[q.Fingerprint] = q
-	}
-	for _, f := range unwritten {
-		if q, ok := entries[f]; ok && e.writeQuarantineRow(ctx, q, clock+q.Until.Sub(now)) != nil {
+	for _, q := range entries[:min(len(entries), maxQuarantineWrites)] {
+		if e.writeQuarantineRow(ctx, q, clock+q.Until.Sub(now)) != nil {
 			return
 		}
-		n.mu.Lock()
-		delete(n.unwritten, f)
-		n.mu.Unlock()
+		e.quarantineNews.mu.Lock()
+		delete(e.quarantineNews.unwritten, q.Fingerprint)
+		e.quarantineNews.mu.Unlock()
+	}
+}
+
+// unwrittenEntries returns the entries whose rows must be written, those with the most crashes first, and forgets the
+// fingerprints that have no entry any more.
+func (e *Edge) unwrittenEntries(now time.Time) []poison.Entry {
+	n := e.quarantineNews
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.unwritten) == 0 {
+		return nil
+	}
+	entries := slices.DeleteFunc(e.quarantine.Entries(now), func(q poison.Entry) bool { return !n.unwritten[q.Fingerprint] })
+	clear(n.unwritten)
+	for _, q := range entries {
+		n.unwritten[q.Fingerprint] = true
 	}
+	slices.SortFunc(entries, func(a, b poison.Entry) int { return cmp.Compare(len(b.Servers), len(a.Servers)) })
+	return entries
 }
 
 // writeQuarantineRow writes the row of an entry whose quarantine ends at the given time of the store's clock.
--- a/io/gossip/poison_test.go
+++ b/io/gossip/poison_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bilberrymux/core/ident"
+	"bilberrymux/core/poison"
 	"bilberrymux/io/peer/peerpb"
 )
 
@@ -16,8 +17,8 @@
 func TestStartedDaemonsLearnQuarantine(t *testing.T) {
 	g, quarantine := newGossipWithPoison()
 	now := time.Now()
-	quarantine.RecordCrash(now, "s", "1", []ident.Fingerprint{7})
-	want := quarantine.RecordCrash(now, "s", "2", []ident.Fingerprint{7})[0]
+	quarantine.RecordCrash(now, poison.Run{Service: "s", Server: "1"}, []ident.Fingerprint{7})
+	want := quarantine.RecordCrash(now, poison.Run{Service: "s", Server: "2"}, []ident.Fingerprint{7})[0]
 	reply, err := g.Exchange(context.Background(), &peerpb.News{From: "vm-2"})
 	if err != nil {
 		t.Fatal(err)
--- a/io/news/message.go
+++ b/io/news/message.go
@@ -100,6 +100,9 @@
 	Service     ident.ServiceID   `cbor:"1,keyasint"`
 	Server      ident.ServerID    `cbor:"2,keyasint"`
 	Fingerprint ident.Fingerprint `cbor:"3,keyasint"`
+	// StartMillis is the start time of the server's run in Unix milliseconds, or 0 if the sender is of a build that doesn't
+	// tell.
+	StartMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Quarantined is a request that crashed servers, as in poison.Entry.
