--- a/io/discovery/config.go
+++ b/io/discovery/config.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -14,7 +15,8 @@
 )
 
 // applyConfig decodes a configuration and activates it if its version is newer than
-// that of the active one. The store confirmed the value at the time at.
+// that of the active one. A version stands for one content: another one under the same version is logged and not
+// used. The store confirmed the value at the time at.
 func (w *Watcher) applyConfig(value []byte, at time.Time, source string) {
 	c, err := platform.DecodeConfig(value)
 	if err != nil {
@@ -28,7 +30,12 @@
 		w.configConfirmedAt = at
 	}
 	if c.Version <= before.Version {
+		contradicts := c.Version == before.Version && !bytes.Equal(value, w.configValue)
 		w.mu.Unlock()
+		if contradicts {
+			w.options.Count("config.contradicted")
+			w.options.Log.WithFields(logrus.Fields{"version": c.Version, "source": source}).Warn(event.ConfigContradicted)
+		}
 		return
 	}
 	w.configValue, w.configChangedAt, w.configFromStore = value, time.Now(), source == sourceStore
--- a/io/discovery/discovery.go
+++ b/io/discovery/discovery.go
@@ -131,12 +131,12 @@
 	}
 	w.readFromStore = source == sourceStore
 	decodeErrors := w.rows.apply(now, c)
-	isNewEra := revision.Era != known.Era && !known.IsZero()
+	hasLost := known.Era > 0 && revision.Era > known.Era
 	unlisted, outdated := len(w.rows.past.unlisted), len(w.rows.past.copied)
 	before, next := w.replaceRoster(now)
 	w.mu.Unlock()
 	w.announce(now, before, next, source)
-	if isNewEra {
+	if hasLost {
 		w.options.Count("servers.eras")
 		w.options.Log.WithFields(logrus.Fields{
 			"era": revision.Era, "stamp": revision.Number, "eraBefore": known.Era, "stampBefore": known.Number,
--- a/io/discovery/eras_test.go
+++ b/io/discovery/eras_test.go
@@ -291,3 +291,28 @@
 
 // base64Of returns the value of a row as the store encodes it.
 func base64Of(value []byte) string { return base64.StdEncoding.EncodeToString(value) }
+
+// TestVersionStandsForOneContent checks that a version which the operator writes again with another content, as after a loss,
+// changes nothing and is reported.
+func TestVersionStandsForOneContent(t *testing.T) {
+	server, store := startStore(t)
+	w := newTestWatcher(t, store)
+	counted := map[string]int{}
+	w.options.Count = func(name string) { counted[name]++ }
+	server.Put(platform.TableConfig, platform.KeyConfig, configRow(1))
+	saved := server.Copy()
+	server.Put(platform.TableConfig, platform.KeyConfig, configRow(2))
+	poll(w)
+	server.Restore(saved)
+	poll(w)
+	server.Put(platform.TableConfig, platform.KeyConfig, configRow(2))
+	poll(w)
+	if counted["config.contradicted"] > 0 {
+		t.Error("the same content counts as another one")
+	}
+	server.Put(platform.TableConfig, platform.KeyConfig, []byte(`{"version":"00000002","routes":[]}`))
+	poll(w)
+	if counted["config.contradicted"] != 1 || w.Catalog().Version != 2 {
+		t.Errorf("got version %d, reports %v; want version 2 and one report", w.Catalog().Version, counted)
+	}
+}
